--- /dev/null
+++ b/crates/mustardgrade-core/src/flow/mod.rs
@@ -0,0 +1,25 @@
+//! Routing of long flows: the router that every traffic thread runs, its tables and messages.
+
+mod chain;
+mod counters;
+mod hop;
+mod packet;
+mod records;
+mod router;
+mod snapshot;
+mod table;
+
+pub use chain::{OwnerChain, owner_chain};
+pub use counters::{DropCause, FlowCounters};
+pub use hop::{FlowNote, HopHeader, HopStage, NoteKind, PeerNote, RecordTransfer};
+pub use packet::{FlowKey, FlowPacket, SegmentFlags};
+pub use records::{BindingRecord, RecordTable, ServiceRecords};
+pub use router::{FlowOptions, FlowRouter, FlowVerdict, PlacementMode};
+pub use snapshot::{
+    OwnerRole, RouteMember, RoutingSnapshot, ServiceRoute, SnapshotInputs, UpstreamRoute,
+    build_snapshot,
+};
+pub use table::{FlowEntry, FlowTable, InsertOutcome};
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/mustardgrade-core/src/flow/records.rs
@@ -0,0 +1,158 @@
+//! Records of single flows: the owner's records of guarded buckets, and settled exceptions.
+
+use std::collections::HashMap;
+use std::hash::{BuildHasherDefault, Hasher};
+
+use serde::{Deserialize, Serialize};
+
+use crate::identity::ServiceId;
+
+/// `FingerprintHasher` passes a fingerprint through, since it already is a keyed hash.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct FingerprintHasher(u64);
+
+impl Hasher for FingerprintHasher {
+    fn finish(&self) -> u64 {
+        self.0
+    }
+
+    fn write(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            self.0 = self.0.rotate_left(8) ^ u64::from(*byte);
+        }
+    }
+
+    fn write_u64(&mut self, value: u64) {
+        self.0 = value;
+    }
+}
+
+/// `ServiceRecords` maps the fingerprints of one service to upstream indexes.
+pub type ServiceRecords = HashMap<u64, u16, BuildHasherDefault<FingerprintHasher>>;
+
+/// `BindingRecord` binds one flow to an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct BindingRecord {
+    /// Fingerprint of the flow.
+    pub fingerprint: u64,
+    /// Upstream index in the service's table.
+    pub upstream: u16,
+}
+
+/// `RecordTable` holds records of all services in bounded memory.
+#[derive(Debug)]
+pub struct RecordTable {
+    services: HashMap<ServiceId, ServiceRecords>,
+    count: usize,
+    capacity: usize,
+}
+
+impl RecordTable {
+    /// Creates a table for at most `capacity` records.
+    #[must_use]
+    pub fn new(capacity: usize) -> Self {
+        Self {
+            services: HashMap::new(),
+            count: 0,
+            capacity,
+        }
+    }
+
+    /// Returns the number of records.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.count
+    }
+
+    /// Tells whether there are no records.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.count == 0
+    }
+
+    /// Returns the upstream index of a recorded flow.
+    #[must_use]
+    pub fn get(&self, service: ServiceId, fingerprint: u64) -> Option<u16> {
+        if self.count == 0 {
+            return None;
+        }
+        self.services.get(&service)?.get(&fingerprint).copied()
+    }
+
+    /// Records a flow, replacing an earlier record; returns whether there was room.
+    pub fn insert(&mut self, service: ServiceId, record: BindingRecord) -> bool {
+        let records = self.services.entry(service).or_default();
+        if self.count >= self.capacity && !records.contains_key(&record.fingerprint) {
+            return false;
+        }
+        if records
+            .insert(record.fingerprint, record.upstream)
+            .is_none()
+        {
+            self.count += 1;
+        }
+        true
+    }
+
+    /// Records a flow unless it is recorded already; returns whether there was room.
+    pub fn insert_missing(&mut self, service: ServiceId, record: BindingRecord) -> bool {
+        match self.get(service, record.fingerprint) {
+            Some(_) => true,
+            None => self.insert(service, record),
+        }
+    }
+
+    /// Removes the record of a flow.
+    pub fn remove(&mut self, service: ServiceId, fingerprint: u64) {
+        let removed = self
+            .services
+            .get_mut(&service)
+            .and_then(|records| records.remove(&fingerprint));
+        self.count -= usize::from(removed.is_some());
+    }
+
+    /// Keeps the records of a service that `keep` accepts.
+    pub fn retain(&mut self, service: ServiceId, keep: impl Fn(BindingRecord) -> bool) {
+        let Some(records) = self.services.get_mut(&service) else {
+            return;
+        };
+        let before = records.len();
+        records.retain(|fingerprint, upstream| {
+            keep(BindingRecord {
+                fingerprint: *fingerprint,
+                upstream: *upstream,
+            })
+        });
+        self.count -= before - records.len();
+        if records.capacity() > 4 * records.len() {
+            records.shrink_to_fit();
+        }
+    }
+
+    /// Returns the records of a service that `select` accepts, in the order of fingerprints.
+    #[must_use]
+    pub fn select(
+        &self,
+        service: ServiceId,
+        select: impl Fn(BindingRecord) -> bool,
+    ) -> Vec<BindingRecord> {
+        let Some(records) = self.services.get(&service) else {
+            return Vec::new();
+        };
+        let all = records.iter().map(|(fingerprint, upstream)| BindingRecord {
+            fingerprint: *fingerprint,
+            upstream: *upstream,
+        });
+        let mut selected: Vec<BindingRecord> = all.filter(|record| select(*record)).collect();
+        selected.sort_unstable();
+        selected
+    }
+
+    /// Returns the services that have records, in order.
+    #[must_use]
+    pub fn services(&self) -> Vec<ServiceId> {
+        let mut services: Vec<ServiceId> = self.services.keys().copied().collect();
+        services.sort_unstable();
+        services
+    }
+}
--- /dev/null
+++ b/crates/mustardgrade-core/src/flow/router.rs
@@ -0,0 +1,724 @@
+//! The flow router: one for each traffic thread.
+
+use std::collections::HashMap;
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+use super::counters::{DropCause, FlowCounters};
+use super::hop::{FlowNote, HopHeader, HopStage, NoteKind, PeerNote, RecordTransfer};
+use super::packet::FlowPacket;
+use super::records::{BindingRecord, RecordTable};
+use super::snapshot::{RoutingSnapshot, ServiceRoute};
+use super::table::{FlowTable, InsertOutcome};
+use crate::identity::{HostId, ServiceId, UpstreamId};
+use crate::placement::{BucketIndex, BucketSlot};
+
+/// Most hosts that a packet passes on its way to an upstream; two suffice while views agree.
+const MAX_HOPS: u8 = 4;
+
+/// `PlacementMode` selects how flows stay with their upstream.
+#[derive(Debug, Display, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PlacementMode {
+    /// Guards, owners and exceptions.
+    #[default]
+    #[display("guarded")]
+    Guarded,
+    /// Computed placement with a local flow table: the baseline.
+    #[display("computed")]
+    Computed,
+}
+
+/// `FlowOptions` holds the settings of a [`FlowRouter`].
+#[derive(Debug, Clone, Copy)]
+pub struct FlowOptions {
+    /// How flows stay with their upstream.
+    pub mode: PlacementMode,
+    /// Seed of the fingerprints; equal on all hosts.
+    pub fingerprint_seed: u64,
+    /// Flows that the local table holds.
+    pub flow_capacity: usize,
+    /// Records that the host keeps for buckets that it owns or copies, and as many exceptions.
+    pub record_capacity: usize,
+    /// Time after which a silent flow leaves the local table.
+    pub idle: Duration,
+    /// Time without any word from a peer after which unknown flows are not placed here.
+    pub fence: Duration,
+    /// Answers a second that the host sends to askers at most.
+    pub answers_per_second: u32,
+}
+
+impl Default for FlowOptions {
+    fn default() -> Self {
+        Self {
+            mode: PlacementMode::Guarded,
+            fingerprint_seed: 0,
+            flow_capacity: 262_144,
+            record_capacity: 1_048_576,
+            idle: Duration::from_secs(300),
+            fence: Duration::from_millis(1_200),
+            answers_per_second: 100,
+        }
+    }
+}
+
+/// `FlowVerdict` says what becomes of a packet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FlowVerdict {
+    /// The packet goes to an upstream.
+    Tunnel {
+        /// The upstream.
+        upstream: UpstreamId,
+        /// Its address.
+        address: Ipv4Addr,
+    },
+    /// The packet goes to another host.
+    Hop {
+        /// The host.
+        to: HostId,
+        /// Its address.
+        address: Ipv4Addr,
+        /// What travels with the packet.
+        header: HopHeader,
+    },
+    /// The flow is given up: its caller gets a reset.
+    Reset,
+    /// The packet is dropped and counted.
+    Drop(DropCause),
+}
+
+/// `AnswerBudget` bounds the answers a second.
+#[derive(Debug, Clone, Copy, Default)]
+struct AnswerBudget {
+    second: u64,
+    spent: u32,
+}
+
+/// `FlowCase` is a packet with what has been looked up for it.
+#[derive(Debug, Clone, Copy)]
+struct FlowCase<'a> {
+    packet: &'a FlowPacket,
+    route: &'a ServiceRoute,
+    fingerprint: u64,
+    bucket: BucketIndex,
+    slot: BucketSlot,
+    now: Duration,
+}
+
+/// `FlowRouter` decides where each packet of a long flow goes.
+///
+/// It performs no I/O. One router serves one traffic thread; routers share nothing but the
+/// [`RoutingSnapshot`].
+#[derive(Debug)]
+pub struct FlowRouter {
+    me: HostId,
+    options: FlowOptions,
+    snapshot: Arc<RoutingSnapshot>,
+    flows: FlowTable,
+    records: RecordTable,
+    exceptions: RecordTable,
+    guard_tags: HashMap<ServiceId, Vec<u8>>,
+    heard_at: Duration,
+    notes: Vec<PeerNote>,
+    transfers: Vec<RecordTransfer>,
+    budget: AnswerBudget,
+    counters: FlowCounters,
+}
+
+impl FlowRouter {
+    /// Creates a router for the host `me`.
+    #[must_use]
+    pub fn new(me: HostId, options: FlowOptions) -> Self {
+        Self {
+            me,
+            options,
+            snapshot: Arc::new(RoutingSnapshot::default()),
+            flows: FlowTable::new(options.flow_capacity, options.idle),
+            records: RecordTable::new(options.record_capacity),
+            exceptions: RecordTable::new(options.record_capacity),
+            guard_tags: HashMap::new(),
+            heard_at: Duration::ZERO,
+            notes: Vec::new(),
+            transfers: Vec::new(),
+            budget: AnswerBudget::default(),
+            counters: FlowCounters::default(),
+        }
+    }
+
+    // Queries.
+
+    /// Returns what the router has counted.
+    #[must_use]
+    pub fn counters(&self) -> &FlowCounters {
+        &self.counters
+    }
+
+    /// Returns the snapshot in force.
+    #[must_use]
+    pub fn snapshot(&self) -> &Arc<RoutingSnapshot> {
+        &self.snapshot
+    }
+
+    /// Returns the records that this host keeps for guarded buckets.
+    #[must_use]
+    pub fn records(&self) -> &RecordTable {
+        &self.records
+    }
+
+    /// Returns the settled exceptions.
+    #[must_use]
+    pub fn exceptions(&self) -> &RecordTable {
+        &self.exceptions
+    }
+
+    /// Returns the flow table.
+    #[must_use]
+    pub fn flows(&self) -> &FlowTable {
+        &self.flows
+    }
+
+    /// Returns the records of the given buckets that differ from their current upstream.
+    #[must_use]
+    pub fn settled_records(
+        &self,
+        service: ServiceId,
+        wanted: &dyn Fn(BucketIndex) -> bool,
+    ) -> Vec<BindingRecord> {
+        let Some(route) = self.snapshot.service(service) else {
+            return Vec::new();
+        };
+        self.records.select(service, |record| {
+            let bucket = route.table.bucket_of(record.fingerprint);
+            wanted(bucket) && route.table.slot(bucket).current != record.upstream
+        })
+    }
+
+    /// Returns all records of the buckets that `wanted` accepts.
+    #[must_use]
+    pub fn bucket_records(
+        &self,
+        service: ServiceId,
+        wanted: &dyn Fn(BucketIndex) -> bool,
+    ) -> Vec<BindingRecord> {
+        let Some(route) = self.snapshot.service(service) else {
+            return Vec::new();
+        };
+        self.records.select(service, |record| {
+            wanted(route.table.bucket_of(record.fingerprint))
+        })
+    }
+
+    // Commands.
+
+    /// Puts a snapshot in force.
+    ///
+    /// Records of buckets that became steady are dropped: their exceptions are settled.
+    pub fn install(&mut self, snapshot: Arc<RoutingSnapshot>) {
+        for route in &snapshot.services {
+            let previous = self.snapshot.service(route.service);
+            let tags = self.guard_tags.entry(route.service).or_default();
+            tags.resize(route.table.slots.len(), 0);
+            for (bucket, slot) in route.table.slots.iter().enumerate() {
+                let old = previous.and_then(|old| old.table.slots.get(bucket));
+                let same_guard =
+                    old.is_some_and(|old| old.phase.is_guarded() && old.base == slot.base);
+                if slot.phase.is_guarded() && !same_guard {
+                    tags[bucket] = tags[bucket].wrapping_add(1);
+                }
+            }
+            let table = &route.table;
+            self.records.retain(route.service, |record| {
+                table
+                    .slot(table.bucket_of(record.fingerprint))
+                    .phase
+                    .is_guarded()
+            });
+            self.exceptions.retain(route.service, |record| {
+                route
+                    .upstream(record.upstream)
+                    .is_some_and(|upstream| upstream.reachable)
+            });
+        }
+        self.plan_transfers(&snapshot);
+        self.snapshot = snapshot;
+    }
+
+    /// Collects the records of buckets whose chain gains a member with `next`.
+    fn plan_transfers(&mut self, next: &RoutingSnapshot) {
+        if self.records.is_empty() {
+            return;
+        }
+        for route in &next.services {
+            let Some(old) = self.snapshot.service(route.service) else {
+                continue;
+            };
+            let mut gaining: HashMap<HostId, Vec<BindingRecord>> = HashMap::new();
+            let mut newcomers: HashMap<BucketIndex, Vec<HostId>> = HashMap::new();
+            for record in self.records.select(route.service, |_| true) {
+                let bucket = route.table.bucket_of(record.fingerprint);
+                let hosts = newcomers.entry(bucket).or_insert_with(|| {
+                    chain_newcomers(&self.snapshot, old, next, route, bucket, self.me)
+                });
+                for host in hosts {
+                    gaining.entry(*host).or_default().push(record);
+                }
+            }
+            let mut gaining: Vec<_> = gaining.into_iter().collect();
+            gaining.sort_unstable_by_key(|(host, _)| *host);
+            let service = route.service;
+            self.transfers
+                .extend(gaining.into_iter().map(|(to, records)| RecordTransfer {
+                    to,
+                    service,
+                    records,
+                }));
+        }
+    }
+
+    /// Notes that the tables were known to be current at `at`.
+    ///
+    /// A host that has not been told so for the fence time leaves unknown flows to its peers.
+    pub fn set_heard(&mut self, at: Duration) {
+        self.heard_at = at;
+    }
+
+    /// Routes a packet that came from the fabric.
+    pub fn route(&mut self, packet: &FlowPacket, now: Duration) -> FlowVerdict {
+        let snapshot = Arc::clone(&self.snapshot);
+        let Some(case) = self.case_of(&snapshot, packet, now) else {
+            return self.drop_packet(DropCause::UnknownService);
+        };
+        match self.options.mode {
+            PlacementMode::Computed => self.route_computed(case),
+            PlacementMode::Guarded => self.route_guarded(case),
+        }
+    }
+
+    /// Routes a packet that another host handed over.
+    pub fn route_hop(
+        &mut self,
+        hop: &HopHeader,
+        packet: &FlowPacket,
+        now: Duration,
+    ) -> FlowVerdict {
+        self.counters.received_hops += 1;
+        let snapshot = Arc::clone(&self.snapshot);
+        let Some(case) = self.case_of(&snapshot, packet, now) else {
+            return self.drop_packet(DropCause::UnknownService);
+        };
+        if hop.hops >= MAX_HOPS {
+            return self.drop_packet(DropCause::HopLimit);
+        }
+        if snapshot.generation < hop.generation {
+            return self.drop_packet(DropCause::StaleOwner);
+        }
+        if let Some(upstream) = self.exceptions.get(case.route.service, case.fingerprint) {
+            return self.deliver(case, upstream);
+        }
+        if !case.slot.phase.is_guarded() {
+            return match self.is_fenced(now) {
+                true => self.drop_packet(DropCause::Fenced),
+                false => self.deliver(case, case.slot.current),
+            };
+        }
+        match hop.stage {
+            HopStage::Owner { claim } => self.decide(case, *hop, claim),
+            HopStage::Replica { verdict } => self.copy_record(case, *hop, verdict),
+        }
+    }
+
+    /// Takes in what another host says of a flow.
+    pub fn learn(&mut self, note: &FlowNote, now: Duration) {
+        let record = BindingRecord {
+            fingerprint: note.fingerprint,
+            upstream: note.upstream,
+        };
+        match note.kind {
+            NoteKind::Answer => self.learn_answer(note, now),
+            NoteKind::Correction => {
+                self.records.insert(note.service, record);
+                self.learn_answer(note, now);
+            }
+            NoteKind::Copy => self.merge_records(note.service, &[record]),
+        }
+    }
+
+    fn learn_answer(&mut self, note: &FlowNote, now: Duration) {
+        let snapshot = Arc::clone(&self.snapshot);
+        let Some(route) = snapshot.service(note.service) else {
+            return;
+        };
+        let tag = self.guard_tag(route.service, route.table.bucket_of(note.fingerprint));
+        self.remember(note.fingerprint, note.upstream, tag, false, now);
+    }
+
+    /// Takes in records that another host kept; records held here win.
+    pub fn merge_records(&mut self, service: ServiceId, records: &[BindingRecord]) {
+        for record in records {
+            let stored = self.records.insert_missing(service, *record);
+            self.counters.records_full += u64::from(!stored);
+        }
+    }
+
+    /// Takes in settled exceptions.
+    pub fn install_exceptions(&mut self, service: ServiceId, records: &[BindingRecord]) {
+        for record in records {
+            let stored = self.exceptions.insert(service, *record);
+            self.counters.records_full += u64::from(!stored);
+        }
+    }
+
+    /// Moves the notes that wait to be sent into `into`.
+    pub fn take_notes(&mut self, into: &mut Vec<PeerNote>) {
+        into.append(&mut self.notes);
+    }
+
+    /// Returns the records that hosts need which have joined the chain of their buckets.
+    pub fn take_transfers(&mut self) -> Vec<RecordTransfer> {
+        std::mem::take(&mut self.transfers)
+    }
+
+    /// Returns the records of the buckets whose chain `host` is in or will be in.
+    #[must_use]
+    pub fn records_for(&self, host: HostId, service: ServiceId) -> Vec<BindingRecord> {
+        let Some(route) = self.snapshot.service(service) else {
+            return Vec::new();
+        };
+        let kept = |bucket| {
+            let now = self.snapshot.chain(route, bucket);
+            let soon = self.snapshot.upcoming_chain(route, bucket);
+            [now, soon]
+                .into_iter()
+                .flatten()
+                .any(|chain| chain.contains(host))
+        };
+        self.bucket_records(service, &kept)
+    }
+
+    fn case_of<'a>(
+        &self,
+        snapshot: &'a RoutingSnapshot,
+        packet: &'a FlowPacket,
+        now: Duration,
+    ) -> Option<FlowCase<'a>> {
+        let route = snapshot.service_at(packet.key.service)?;
+        let fingerprint = packet.key.fingerprint(self.options.fingerprint_seed);
+        let bucket = route.table.bucket_of(fingerprint);
+        let slot = route.table.slot(bucket);
+        Some(FlowCase {
+            packet,
+            route,
+            fingerprint,
+            bucket,
+            slot,
+            now,
+        })
+    }
+
+    fn route_computed(&mut self, case: FlowCase<'_>) -> FlowVerdict {
+        if !case.packet.opens()
+            && let Some(entry) = self.flows.touch(case.fingerprint, case.now)
+        {
+            let upstream = entry.upstream;
+            return self.deliver(case, upstream);
+        }
+        self.deliver(case, case.slot.current)
+    }
+
+    fn route_guarded(&mut self, case: FlowCase<'_>) -> FlowVerdict {
+        if let Some(upstream) = self.exceptions.get(case.route.service, case.fingerprint) {
+            return self.deliver(case, upstream);
+        }
+        let fenced = self.is_fenced(case.now);
+        if !case.slot.phase.is_guarded() && !fenced {
+            return self.deliver(case, case.slot.current);
+        }
+        let claim = match self.known_upstream(case, fenced) {
+            KnownFlow::Settled(upstream) => return self.deliver(case, upstream),
+            KnownFlow::Claimed(upstream) => Some(upstream),
+            KnownFlow::Unknown => None,
+        };
+        self.ask_owner(case, claim, fenced)
+    }
+
+    fn is_fenced(&self, now: Duration) -> bool {
+        now > self.heard_at + self.options.fence
+    }
+
+    /// Looks a flow up in the local table, as far as the guard of its bucket allows.
+    fn known_upstream(&mut self, case: FlowCase<'_>, fenced: bool) -> KnownFlow {
+        if case.packet.opens() {
+            return KnownFlow::Unknown;
+        }
+        let tag = self.guard_tag(case.route.service, case.bucket);
+        let Some(entry) = self.flows.touch(case.fingerprint, case.now) else {
+            return KnownFlow::Unknown;
+        };
+        entry.opening = false;
+        let upstream = entry.upstream;
+        if entry.guard_tag == tag || fenced && !case.slot.phase.is_guarded() {
+            return KnownFlow::Settled(upstream);
+        }
+        if upstream == case.slot.base {
+            // Each host reports each old flow once, so the owner hears of it although any one of
+            // these packets may be lost.
+            entry.guard_tag = tag;
+            return KnownFlow::Claimed(upstream);
+        }
+        KnownFlow::Unknown
+    }
+
+    fn ask_owner(&mut self, case: FlowCase<'_>, claim: Option<u16>, fenced: bool) -> FlowVerdict {
+        let snapshot = Arc::clone(&self.snapshot);
+        let chain = snapshot.chain(case.route, case.bucket);
+        let Some(chain) = chain else {
+            return self.deliver(case, claim.unwrap_or(case.slot.unlisted()));
+        };
+        let header = HopHeader {
+            stage: HopStage::Owner { claim },
+            asker: self.me,
+            sender: self.me,
+            generation: snapshot.generation,
+            hops: 0,
+        };
+        if fenced {
+            // The table here may be old, so the decision is left to a host that hears its peers.
+            let other = [Some(chain.owner), chain.replica].into_iter().flatten();
+            return match other.into_iter().find(|host| *host != self.me) {
+                Some(host) => self.hop_to(&snapshot, host, header),
+                None => self.drop_packet(DropCause::Fenced),
+            };
+        }
+        match chain.owner == self.me {
+            true => self.decide(case, header, claim),
+            false => self.hop_to(&snapshot, chain.owner, header),
+        }
+    }
+
+    /// Acts as the owner of a guarded bucket.
+    fn decide(&mut self, case: FlowCase<'_>, hop: HopHeader, claim: Option<u16>) -> FlowVerdict {
+        let service = case.route.service;
+        if let Some(upstream) = self.records.get(service, case.fingerprint) {
+            let wrong = claim.is_some_and(|claimed| claimed != upstream);
+            self.answer(case, hop.asker, upstream, wrong);
+            return self.deliver(case, upstream);
+        }
+        if self.is_fenced(case.now) {
+            return self.drop_packet(DropCause::Fenced);
+        }
+        let upstream = match case.packet.opens() {
+            true => case.slot.opening(),
+            false => claim.unwrap_or(case.slot.unlisted()),
+        };
+        if case.packet.opens() && !case.route.upstream(upstream).is_some_and(|up| up.takes_new) {
+            return self.drop_packet(DropCause::AwaitingMove);
+        }
+        self.record(service, case.fingerprint, upstream);
+        let snapshot = Arc::clone(&self.snapshot);
+        self.copy_to_upcoming(&snapshot, case, upstream);
+        let chain = snapshot.chain(case.route, case.bucket);
+        let next = chain.and_then(|chain| chain.next_after(self.me));
+        // The packet itself carries the new record to the replica: a flow whose record was lost
+        // with its packet has not reached any upstream.
+        let header = HopHeader {
+            stage: HopStage::Replica { verdict: upstream },
+            sender: self.me,
+            generation: snapshot.generation,
+            hops: hop.hops + 1,
+            ..hop
+        };
+        match next {
+            Some(host) => self.hop_to(&snapshot, host, header),
+            None => self.deliver(case, upstream),
+        }
+    }
+
+    /// Acts as the replica of a guarded bucket.
+    fn copy_record(&mut self, case: FlowCase<'_>, hop: HopHeader, verdict: u16) -> FlowVerdict {
+        let service = case.route.service;
+        let upstream = match self.records.get(service, case.fingerprint) {
+            Some(held) => held,
+            None => {
+                self.record(service, case.fingerprint, verdict);
+                verdict
+            }
+        };
+        if upstream != verdict {
+            self.counters.conflicts += 1;
+            self.note(case, hop.sender, upstream, NoteKind::Correction);
+        }
+        self.answer(case, hop.asker, upstream, upstream != verdict);
+        self.deliver(case, upstream)
+    }
+
+    /// Sends a new record to the hosts that will be in the chain once they serve.
+    fn copy_to_upcoming(&mut self, snapshot: &RoutingSnapshot, case: FlowCase<'_>, upstream: u16) {
+        if !snapshot.has_upcoming() {
+            return;
+        }
+        let now = snapshot.chain(case.route, case.bucket);
+        let Some(soon) = snapshot.upcoming_chain(case.route, case.bucket) else {
+            return;
+        };
+        for host in soon
+            .hosts()
+            .filter(|host| !now.is_some_and(|chain| chain.contains(*host)))
+        {
+            self.note(case, host, upstream, NoteKind::Copy);
+        }
+    }
+
+    fn record(&mut self, service: ServiceId, fingerprint: u64, upstream: u16) {
+        let stored = self.records.insert(
+            service,
+            BindingRecord {
+                fingerprint,
+                upstream,
+            },
+        );
+        self.counters.records_full += u64::from(!stored);
+    }
+
+    /// Answers the asking host, within the budget unless the answer is urgent.
+    fn answer(&mut self, case: FlowCase<'_>, to: HostId, upstream: u16, urgent: bool) {
+        if to != self.me && (urgent || self.spend_answer(case.now)) {
+            self.counters.answers += 1;
+            self.note(case, to, upstream, NoteKind::Answer);
+        }
+    }
+
+    fn note(&mut self, case: FlowCase<'_>, to: HostId, upstream: u16, kind: NoteKind) {
+        let service = case.route.service;
+        let fingerprint = case.fingerprint;
+        self.notes.push(PeerNote {
+            to,
+            note: FlowNote {
+                kind,
+                service,
+                fingerprint,
+                upstream,
+            },
+        });
+    }
+
+    fn spend_answer(&mut self, now: Duration) -> bool {
+        if self.budget.second != now.as_secs() {
+            self.budget = AnswerBudget {
+                second: now.as_secs(),
+                spent: 0,
+            };
+        }
+        self.budget.spent += 1;
+        self.budget.spent <= self.options.answers_per_second
+    }
+
+    fn hop_to(&mut self, snapshot: &RoutingSnapshot, to: HostId, header: HopHeader) -> FlowVerdict {
+        let Some(address) = snapshot.host_address(to) else {
+            return self.drop_packet(DropCause::NoUpstream);
+        };
+        self.counters.hopped += 1;
+        FlowVerdict::Hop {
+            to,
+            address,
+            header,
+        }
+    }
+
+    /// Sends a packet to an upstream index, if it may receive this packet.
+    fn deliver(&mut self, case: FlowCase<'_>, upstream: u16) -> FlowVerdict {
+        let Some(route) = case.route.upstream(upstream) else {
+            return self.drop_packet(DropCause::NoUpstream);
+        };
+        if !route.reachable {
+            return self.give_up(case);
+        }
+        self.note_flow(case, upstream);
+        self.counters.tunnelled += 1;
+        FlowVerdict::Tunnel {
+            upstream: route.upstream,
+            address: route.address,
+        }
+    }
+
+    fn give_up(&mut self, case: FlowCase<'_>) -> FlowVerdict {
+        self.flows.remove(case.fingerprint);
+        if case.packet.opens() || case.packet.flags.rst {
+            return self.drop_packet(DropCause::NoUpstream);
+        }
+        self.counters.resets += 1;
+        FlowVerdict::Reset
+    }
+
+    fn note_flow(&mut self, case: FlowCase<'_>, upstream: u16) {
+        if case.packet.closes() {
+            self.flows.remove(case.fingerprint);
+            return;
+        }
+        let tag = self.guard_tag(case.route.service, case.bucket);
+        if let Some(entry) = self.flows.touch(case.fingerprint, case.now) {
+            entry.upstream = upstream;
+            entry.guard_tag = tag;
+            return;
+        }
+        self.remember(
+            case.fingerprint,
+            upstream,
+            tag,
+            case.packet.opens(),
+            case.now,
+        );
+    }
+
+    fn remember(&mut self, fingerprint: u64, upstream: u16, tag: u8, opening: bool, now: Duration) {
+        let outcome = self.flows.insert(fingerprint, upstream, tag, opening, now);
+        self.counters.table_full += u64::from(outcome == InsertOutcome::Full);
+    }
+
+    fn guard_tag(&self, service: ServiceId, bucket: BucketIndex) -> u8 {
+        let tags = self.guard_tags.get(&service);
+        tags.and_then(|tags| tags.get(bucket.0 as usize))
+            .copied()
+            .unwrap_or_default()
+    }
+
+    fn drop_packet(&mut self, cause: DropCause) -> FlowVerdict {
+        self.counters.count_drop(cause);
+        FlowVerdict::Drop(cause)
+    }
+}
+
+/// `KnownFlow` is what the local table says of a flow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum KnownFlow {
+    /// The flow belongs to this upstream, and the owner of its bucket knows.
+    Settled(u16),
+    /// The flow belongs to this upstream, and the owner of its bucket must be told.
+    Claimed(u16),
+    /// Nothing is known.
+    Unknown,
+}
+
+/// Returns the hosts that are in the chain of a bucket by `next` but were not before.
+///
+/// A member of the old chain sends them its records; where the old chain is gone, any holder does.
+fn chain_newcomers(
+    before: &RoutingSnapshot,
+    old: &ServiceRoute,
+    next: &RoutingSnapshot,
+    route: &ServiceRoute,
+    bucket: BucketIndex,
+    me: HostId,
+) -> Vec<HostId> {
+    let old_chain = before.chain(old, bucket);
+    let Some(chain) = next.chain(route, bucket) else {
+        return Vec::new();
+    };
+    let joined = |host: &HostId| {
+        *host != me && !old_chain.is_some_and(|old_chain| old_chain.contains(*host))
+    };
+    chain.hosts().filter(joined).collect()
+}
--- /dev/null
+++ b/crates/mustardgrade-core/src/membership/mod.rs
@@ -0,0 +1,18 @@
+//! Membership between entry hosts: digests, suspicion, and what a host may conclude from them.
+//!
+//! A view is never a proof. Views decide where work goes; every safety rule holds although the
+//! views of two hosts differ.
+
+mod controller;
+mod digest;
+mod member;
+
+pub use controller::{
+    ControllerInput, ControllerOptions, ControllerOutput, FetchedState, HostController,
+    StoredPlacement, StoredRules,
+};
+pub use digest::{HostDigest, HostState};
+pub use member::{HostMember, ListedHost, MemberOptions, MemberTable};
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/mustardgrade-core/src/placement/assign.rs
@@ -0,0 +1,184 @@
+//! Methods that give buckets to weighted upstreams.
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+use super::table::UNPLACED;
+use crate::identity::{UpstreamId, rendezvous_score};
+
+/// `AssignMethod` selects how buckets are given to upstreams.
+#[derive(Debug, Display, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum AssignMethod {
+    /// Moves only as many buckets as the changed weights ask for.
+    #[default]
+    #[display("bounded")]
+    Bounded,
+    /// Weighted rendezvous hashing of each bucket (Thaler and Ravishankar, 1998).
+    #[display("rendezvous")]
+    Rendezvous,
+    /// The permutation fill of Maglev (Eisenbud et al., NSDI 2016).
+    #[display("maglev")]
+    Maglev,
+}
+
+/// `UpstreamWeight` is an upstream's share of new flows; the unit is arbitrary.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UpstreamWeight {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// Its weight; 0 takes no bucket.
+    pub weight: u32,
+}
+
+/// Gives every bucket the index of an upstream in `weights`.
+///
+/// `previous` holds the indexes before the change, [`UNPLACED`] where there was none; its length is
+/// the number of buckets. Only [`AssignMethod::Bounded`] looks at it.
+#[must_use]
+pub fn assign_buckets(
+    method: AssignMethod,
+    previous: &[u16],
+    weights: &[UpstreamWeight],
+) -> Vec<u16> {
+    if weights.iter().all(|weight| weight.weight == 0) {
+        return vec![UNPLACED; previous.len()];
+    }
+    match method {
+        AssignMethod::Bounded => assign_bounded(previous, weights),
+        AssignMethod::Rendezvous => assign_rendezvous(previous.len(), weights),
+        AssignMethod::Maglev => assign_maglev(previous.len(), weights),
+    }
+}
+
+/// Counts the buckets that differ between two assignments of one length.
+#[must_use]
+pub fn count_moves(old: &[u16], new: &[u16]) -> usize {
+    old.iter()
+        .zip(new)
+        .filter(|(before, after)| before != after)
+        .count()
+}
+
+fn assign_bounded(previous: &[u16], weights: &[UpstreamWeight]) -> Vec<u16> {
+    let targets = bucket_targets(previous.len(), weights);
+    let mut room = targets.clone();
+    let mut assigned = vec![UNPLACED; previous.len()];
+    // Buckets stay where they are while their upstream has a target left. The hash order decides
+    // which ones go, so that repeated changes do not always move the same buckets.
+    let mut order: Vec<usize> = (0..previous.len()).collect();
+    order.sort_by_key(|bucket| rendezvous_score(*bucket as u64, u64::from(previous[*bucket])));
+    for bucket in &order {
+        let held = usize::from(previous[*bucket]);
+        if held < room.len() && room[held] > 0 {
+            room[held] -= 1;
+            assigned[*bucket] = previous[*bucket];
+        }
+    }
+    let homeless = order
+        .into_iter()
+        .filter(|bucket| assigned[*bucket] == UNPLACED);
+    for bucket in homeless.collect::<Vec<_>>() {
+        let index = roomiest(&room, &targets, weights, bucket);
+        room[index] -= 1;
+        assigned[bucket] = index as u16;
+    }
+    assigned
+}
+
+/// Returns the upstream with the largest unfilled share of its target.
+fn roomiest(room: &[usize], targets: &[usize], weights: &[UpstreamWeight], bucket: usize) -> usize {
+    (0..room.len())
+        .filter(|index| room[*index] > 0)
+        .max_by_key(|index| {
+            let share = room[*index] * 1_000_000 / targets[*index].max(1);
+            (
+                share,
+                rendezvous_score(bucket as u64, weights[*index].upstream.0),
+            )
+        })
+        .unwrap_or_default()
+}
+
+/// Splits `count` buckets by weight, largest remainder first.
+fn bucket_targets(count: usize, weights: &[UpstreamWeight]) -> Vec<usize> {
+    let total: u64 = weights.iter().map(|weight| u64::from(weight.weight)).sum();
+    let exact = |weight: &UpstreamWeight| count as u64 * u64::from(weight.weight);
+    let mut targets: Vec<usize> = weights
+        .iter()
+        .map(|weight| (exact(weight) / total) as usize)
+        .collect();
+    let mut order: Vec<usize> = (0..weights.len()).collect();
+    order.sort_by_key(|index| {
+        (
+            std::cmp::Reverse(exact(&weights[*index]) % total),
+            weights[*index].upstream,
+        )
+    });
+    let missing = count - targets.iter().sum::<usize>();
+    for index in order.into_iter().take(missing) {
+        targets[index] += 1;
+    }
+    targets
+}
+
+fn assign_rendezvous(count: usize, weights: &[UpstreamWeight]) -> Vec<u16> {
+    (0..count)
+        .map(|bucket| {
+            let best = (0..weights.len()).max_by(|left, right| {
+                let left_score = weighted_score(bucket, &weights[*left]);
+                let right_score = weighted_score(bucket, &weights[*right]);
+                left_score.total_cmp(&right_score)
+            });
+            best.unwrap_or_default() as u16
+        })
+        .collect()
+}
+
+fn weighted_score(bucket: usize, weight: &UpstreamWeight) -> f64 {
+    let hash = rendezvous_score(bucket as u64, weight.upstream.0);
+    // The 53 upper bits fill a double exactly; one half keeps the value inside (0, 1).
+    let unit = ((hash >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
+    -f64::from(weight.weight) / unit.ln()
+}
+
+fn assign_maglev(count: usize, weights: &[UpstreamWeight]) -> Vec<u16> {
+    let mut assigned = vec![UNPLACED; count];
+    let mut next = vec![0_usize; weights.len()];
+    let mut credit = vec![0_u64; weights.len()];
+    let largest = weights
+        .iter()
+        .map(|weight| u64::from(weight.weight))
+        .max()
+        .unwrap_or(1);
+    let mut filled = 0;
+    while filled < count {
+        for (index, weight) in weights.iter().enumerate() {
+            // An upstream takes a turn each time its credit reaches the largest weight.
+            credit[index] += u64::from(weight.weight);
+            if credit[index] < largest || filled == count {
+                continue;
+            }
+            credit[index] -= largest;
+            let bucket = next_free(&assigned, weight.upstream, &mut next[index]);
+            assigned[bucket] = index as u16;
+            filled += 1;
+        }
+    }
+    assigned
+}
+
+/// Walks the permutation of one upstream to its next free bucket.
+fn next_free(assigned: &[u16], upstream: UpstreamId, next: &mut usize) -> usize {
+    let count = assigned.len();
+    let offset = rendezvous_score(0, upstream.0) as usize % count;
+    // An odd skip is coprime with the power-of-two length, so the walk visits every bucket.
+    let skip = (rendezvous_score(1, upstream.0) as usize % count) | 1;
+    loop {
+        let bucket = (offset + *next * skip) % count;
+        *next += 1;
+        if assigned[bucket] == UNPLACED {
+            return bucket;
+        }
+    }
+}
--- /dev/null
+++ b/crates/mustardgrade-core/src/request/message.rs
@@ -0,0 +1,180 @@
+//! Requests, replies and what hosts tell each other about them.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+use crate::identity::{HostId, HostIncarnation, ServiceId, UpstreamId};
+
+/// `RequestId` names one request of one caller.
+#[derive(Debug, Display, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[display("{caller}#{message_id}")]
+pub struct RequestId {
+    /// Address and port of the caller.
+    pub caller: SocketAddrV4,
+    /// CoAP message id, which a retransmission repeats.
+    pub message_id: u16,
+    /// CoAP token, which the answer repeats.
+    pub token: Vec<u8>,
+}
+
+/// `CallerRequest` is a request as a host receives it from a caller.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallerRequest {
+    /// Name of the request.
+    pub id: RequestId,
+    /// Address and port that the caller used.
+    pub service: SocketAddrV4,
+    /// Whether the request may run more than once.
+    pub idempotent: bool,
+    /// Ticket that the caller brought.
+    pub ticket: Option<Vec<u8>>,
+    /// Time that the caller still waits.
+    pub patience: Duration,
+    /// The encoded request for the upstream.
+    pub content: Vec<u8>,
+}
+
+/// `CallerReply` is what a caller is told.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum CallerReply {
+    /// The upstream's answer, encoded.
+    Content(Vec<u8>),
+    /// Nothing ran; the caller shall repeat the request with this ticket.
+    Challenge(Vec<u8>),
+    /// The request did not run and will not.
+    NotRun {
+        /// Time after which the caller may try again.
+        retry_after: Duration,
+    },
+    /// Nobody can tell whether the request ran.
+    Unknown,
+    /// The request cannot be served as it stands.
+    Invalid,
+}
+
+/// `UpstreamReply` is how one try at an upstream ended.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum UpstreamReply {
+    /// The upstream answered.
+    Content(Vec<u8>),
+    /// The upstream refused without running the request.
+    Shed,
+}
+
+/// `TriedUpstream` is an upstream that had no room for a forwarded request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TriedUpstream {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// Requests in service and waiting there, in thousandths of its limit.
+    pub load: u32,
+}
+
+/// `ForwardedRequest` travels from the receiving host to keepers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ForwardedRequest {
+    /// Host that received the request.
+    pub origin: HostId,
+    /// The request.
+    pub request: CallerRequest,
+    /// The service.
+    pub service: ServiceId,
+    /// Upstreams still to try, the next one first.
+    pub candidates: Vec<UpstreamId>,
+    /// Upstreams that had no room.
+    pub tried: Vec<TriedUpstream>,
+    /// Whether the receiver shall let the request wait if there is no room.
+    pub settle: bool,
+}
+
+/// `KeeperMessage` is what hosts tell each other about requests.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum KeeperMessage {
+    /// A request for the receiver's upstream.
+    Forward(ForwardedRequest),
+    /// The caller has its final word.
+    Done {
+        /// The request.
+        id: RequestId,
+    },
+    /// The request did not run at the sender and will not; the origin may try elsewhere.
+    Refused {
+        /// The request.
+        id: RequestId,
+        /// The upstream that refused.
+        upstream: UpstreamId,
+    },
+}
+
+/// `RequestInput` is an event that the request router decides on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RequestInput {
+    /// A request from the fabric.
+    Caller(CallerRequest),
+    /// A message from another host.
+    Peer(KeeperMessage),
+    /// An upstream has replied to an exchange; its source address is checked.
+    Upstream {
+        /// The upstream.
+        upstream: UpstreamId,
+        /// Number of the exchange.
+        exchange: u64,
+        /// How it ended.
+        reply: UpstreamReply,
+    },
+    /// Time has passed.
+    Tick,
+    /// The host stops: it takes no new requests and finishes what runs.
+    Leave,
+}
+
+/// `RequestOutput` is what the edge of the process must do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RequestOutput {
+    /// Send a reply to a caller.
+    Answer {
+        /// The request.
+        id: RequestId,
+        /// Address that the caller used, which the reply comes from.
+        service: SocketAddrV4,
+        /// What the caller is told.
+        reply: CallerReply,
+    },
+    /// Send a request to an upstream, once.
+    Dispatch {
+        /// The upstream.
+        upstream: UpstreamId,
+        /// Its address.
+        address: Ipv4Addr,
+        /// Number of the exchange.
+        exchange: u64,
+        /// Time that the caller still waits.
+        patience: Duration,
+        /// The encoded request.
+        content: Vec<u8>,
+    },
+    /// Tell an upstream that nobody waits for an exchange any more.
+    Cancel {
+        /// The upstream.
+        upstream: UpstreamId,
+        /// Its address.
+        address: Ipv4Addr,
+        /// Number of the exchange.
+        exchange: u64,
+    },
+    /// Send a message to another host.
+    Send {
+        /// The receiver.
+        to: HostIncarnation,
+        /// Its address.
+        address: Ipv4Addr,
+        /// The message.
+        message: KeeperMessage,
+    },
+}
--- /dev/null
+++ b/crates/mustardgrade-core/src/rule/mod.rs
@@ -0,0 +1,22 @@
+//! Operator rules: the model, its grammar, whole-file checks and differences.
+//!
+//! Each rule is one line followed by a comment that names who asked for it. The grammar is in
+//! `docs/RULES.md`.
+
+mod check;
+mod diff;
+mod errors;
+mod grammar;
+mod model;
+
+pub use check::check_rules;
+pub use diff::{RuleChange, RuleDifference, diff_rules};
+pub use errors::{Result, RuleError, RulePlace};
+pub use grammar::parse_rules;
+pub use model::{
+    DataCentreRule, DataCentreState, Requester, RuleBook, ServiceClass, ServiceRule, UpstreamRule,
+    UpstreamState,
+};
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/mustardgrade-core/src/rule/tests.rs
@@ -0,0 +1,108 @@
+//! Tests of the rules file.
+
+use expect_test::expect;
+use proptest::prelude::*;
+
+use super::{diff_rules, parse_rules};
+
+const SAMPLE: &str = "\
+data-centre lac in  # ops: opening
+service desk 203.0.113.10:443 class=flow tenant=bureau  # amel: rounds
+upstream desk-1 service=desk at=127.0.0.9 data-centre=lac slots=4  # amel: rounds
+";
+
+fn error_of(text: &str) -> String {
+    parse_rules(text).map_or_else(|error| error.to_string(), |_| "accepted".to_owned())
+}
+
+#[test]
+fn accepted_rules_round_trip() {
+    let book = parse_rules(SAMPLE).expect("sample is valid");
+    assert_eq!(
+        parse_rules(&book.to_text()).expect("own text is valid"),
+        book
+    );
+}
+
+#[test]
+fn errors_name_place_and_cause() {
+    let cases = [
+        ("data-centre lac in", "requester"),
+        ("data-center lac in # x", "kind"),
+        ("data-centre lac on # x", "state"),
+        (
+            "service desk 203.0.113:443 class=flow tenant=b # x",
+            "address",
+        ),
+        ("service desk 203.0.113.1:443 clas=flow tenant=b # x", "key"),
+        (
+            "upstream u service=desk at=127.0.0.9 data-centre=lac slots=0 # x",
+            "slots",
+        ),
+        (
+            "upstream u service=desk at=127.0.0.9 data-centre=lac # x",
+            "missing",
+        ),
+    ];
+    let report: String = cases
+        .iter()
+        .map(|(text, what)| format!("{what}: {}\n", error_of(text)))
+        .collect();
+    expect![[r#"
+        requester: line 1, column 19: rule lacks the comment that names who asked for it
+        kind: line 1, column 1: unknown rule 'data-center'; did you mean 'data-centre'?
+        state: line 1, column 17: state is 'on', expected 'in' or 'out'
+        address: line 1, column 14: '203.0.113:443' is not an address like 203.0.113.10:443
+        key: line 1, column 30: unknown key 'clas'; did you mean 'class'?
+        slots: line 1, column 60: slots must be at least 1
+        missing: line 1, column 53: key 'slots' is missing
+    "#]]
+    .assert_eq(&report);
+}
+
+#[test]
+fn whole_file_checks_find_conflicts() {
+    let unknown = SAMPLE.replace("service=desk", "service=dusk");
+    let out = SAMPLE.replace("lac in", "lac out");
+    let twice = format!("{SAMPLE}data-centre lac in  # again\n");
+    let alone = "service desk 203.0.113.10:443 class=flow tenant=bureau  # amel\n";
+    let report = [unknown.as_str(), &out, &twice, alone]
+        .map(error_of)
+        .join("\n");
+    expect![[r#"
+        line 3, column 1: unknown service 'dusk'; did you mean 'desk'?
+        line 1, column 1: no data centre is left in
+        line 4, column 1: data centre 'lac' is already defined on line 1
+        line 1, column 1: service 'desk' has no serving upstream"#]]
+    .assert_eq(&report);
+}
+
+#[test]
+fn difference_shows_both_sides_of_a_change() {
+    let old = parse_rules(SAMPLE).expect("sample is valid");
+    let edited = SAMPLE.replace("slots=4", "slots=3");
+    let new = parse_rules(&edited).expect("edit is valid");
+    let difference = diff_rules(&old, &new).to_string();
+    expect![[r#"
+        - upstream desk-1 service=desk at=127.0.0.9 data-centre=lac slots=4 state=serving  # amel: rounds
+        + upstream desk-1 service=desk at=127.0.0.9 data-centre=lac slots=3 state=serving  # amel: rounds
+    "#]]
+    .assert_eq(&difference);
+}
+
+proptest! {
+    #[test]
+    fn any_text_is_accepted_or_refused_with_a_place(text in "[a-z0-9=#. :\n-]{0,200}") {
+        if let Err(error) = parse_rules(&text) {
+            prop_assert!(error.place.line >= 1 && error.place.column >= 1);
+        }
+    }
+
+    #[test]
+    fn a_damaged_rule_is_refused_with_a_place(cut in 0_usize..SAMPLE.len(), junk in "[=#x ]{1,3}") {
+        let text = format!("{}{junk}{}", &SAMPLE[..cut], &SAMPLE[cut..]);
+        if let Err(error) = parse_rules(&text) {
+            prop_assert!(error.place.line <= text.lines().count());
+        }
+    }
+}
--- /dev/null
+++ b/crates/mustardgrade-wire/src/coap/request.rs
@@ -0,0 +1,129 @@
+//! Requests from callers and replies to them.
+
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use coap_lite::{CoapOption, MessageClass, MessageType, Packet, RequestType, ResponseType};
+use mustardgrade_core::request::{CallerReply, CallerRequest, RequestId};
+
+use super::errors::{CoapError, Result};
+
+/// Number of the Echo option (RFC 9175, section 2.2.1).
+pub const ECHO_OPTION: CoapOption = CoapOption::Unknown(252);
+
+/// Number of the option that holds the caller's remaining patience in milliseconds.
+///
+/// 65020 lies in the experimental range (RFC 7252, section 12.2). Its bits make it elective, safe
+/// to forward, and no part of a cache key (RFC 7252, section 5.4.6): an upstream that does not know
+/// it may ignore it.
+pub const DEADLINE_OPTION: CoapOption = CoapOption::Unknown(65_020);
+
+/// Patience of a caller that states none: the exchange lifetime would hold state for minutes.
+const DEFAULT_PATIENCE: Duration = Duration::from_secs(5);
+
+/// Longest patience that is honoured; longer ones would keep requests waiting past ticket expiry.
+const MAX_PATIENCE: Duration = Duration::from_secs(30);
+
+/// Reads a request that `caller` sent to `service`.
+///
+/// # Errors
+///
+/// Fails if the datagram is no CoAP request.
+pub fn decode_request(
+    caller: SocketAddrV4,
+    service: SocketAddrV4,
+    datagram: &[u8],
+) -> Result<CallerRequest> {
+    let packet = Packet::from_bytes(datagram).map_err(|_cause| CoapError::Malformed)?;
+    let MessageClass::Request(method) = packet.header.code else {
+        return Err(CoapError::NotRequest);
+    };
+    if !matches!(
+        packet.header.get_type(),
+        MessageType::Confirmable | MessageType::NonConfirmable
+    ) {
+        return Err(CoapError::NotRequest);
+    }
+    let id = RequestId {
+        caller,
+        message_id: packet.header.message_id,
+        token: packet.get_token().to_vec(),
+    };
+    Ok(CallerRequest {
+        id,
+        service,
+        idempotent: is_idempotent(method),
+        ticket: packet.get_first_option(ECHO_OPTION).cloned(),
+        patience: patience_of(&packet),
+        content: datagram.to_vec(),
+    })
+}
+
+/// Tells whether a method may run more than once (RFC 7252, section 5.1; RFC 8132).
+fn is_idempotent(method: RequestType) -> bool {
+    match method {
+        RequestType::Get
+        | RequestType::Put
+        | RequestType::Delete
+        | RequestType::Fetch
+        | RequestType::IPatch => true,
+        RequestType::Post | RequestType::Patch | RequestType::UnKnown => false,
+    }
+}
+
+fn patience_of(packet: &Packet) -> Duration {
+    let Some(value) = packet.get_first_option(DEADLINE_OPTION) else {
+        return DEFAULT_PATIENCE;
+    };
+    // The value is an unsigned integer without leading zero bytes (RFC 7252, section 3.2).
+    let bytes = value.iter().take(4);
+    let millis = bytes.fold(0_u64, |sum, byte| (sum << 8) | u64::from(*byte));
+    Duration::from_millis(millis).min(MAX_PATIENCE)
+}
+
+/// Encodes what a caller is told.
+///
+/// # Errors
+///
+/// Fails if the upstream's answer is damaged or too large for a datagram.
+pub fn encode_reply(id: &RequestId, reply: &CallerReply) -> Result<Vec<u8>> {
+    let mut packet = match reply {
+        CallerReply::Content(content) => {
+            Packet::from_bytes(content).map_err(|_cause| CoapError::Malformed)?
+        }
+        CallerReply::Challenge(ticket) => challenge(ticket),
+        CallerReply::NotRun { retry_after } => not_run(*retry_after),
+        CallerReply::Unknown => plain(ResponseType::GatewayTimeout, b"outcome unknown"),
+        CallerReply::Invalid => plain(ResponseType::BadRequest, b"not run: invalid request"),
+    };
+    packet.header.set_type(MessageType::Acknowledgement);
+    packet.header.message_id = id.message_id;
+    packet.set_token(id.token.clone());
+    packet
+        .to_bytes_unlimited()
+        .map_err(|_cause| CoapError::TooLarge)
+}
+
+fn plain(code: ResponseType, payload: &[u8]) -> Packet {
+    let mut packet = Packet::new();
+    packet.header.code = MessageClass::Response(code);
+    packet.payload = payload.to_vec();
+    packet
+}
+
+fn challenge(ticket: &[u8]) -> Packet {
+    let mut packet = plain(
+        ResponseType::Unauthorized,
+        b"not run: repeat with this ticket",
+    );
+    packet.add_option(ECHO_OPTION, ticket.to_vec());
+    packet
+}
+
+fn not_run(retry_after: Duration) -> Packet {
+    let mut packet = plain(ResponseType::ServiceUnavailable, b"not run");
+    // Max-Age counts whole seconds; rounding up keeps callers from coming back early.
+    let seconds = retry_after.as_millis().div_ceil(1_000) as u8;
+    packet.add_option(CoapOption::MaxAge, vec![seconds.max(1)]);
+    packet
+}
--- /dev/null
+++ b/crates/mustardgrade-wire/src/coap/tests.rs
@@ -0,0 +1,130 @@
+//! Tests of CoAP messages.
+
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use coap_lite::{CoapOption, MessageClass, MessageType, Packet, RequestType, ResponseType};
+use expect_test::expect;
+use mustardgrade_core::request::{CallerReply, UpstreamReply};
+use proptest::prelude::*;
+
+use super::*;
+
+fn addresses() -> (SocketAddrV4, SocketAddrV4) {
+    let caller = "192.0.2.1:5683".parse().expect("the address is valid");
+    let service = "203.0.113.10:5683".parse().expect("the address is valid");
+    (caller, service)
+}
+
+fn post() -> Vec<u8> {
+    let mut packet = Packet::new();
+    packet.header.code = MessageClass::Request(RequestType::Post);
+    packet.header.set_type(MessageType::Confirmable);
+    packet.header.message_id = 77;
+    packet.set_token(vec![1, 2, 3]);
+    packet.add_option(CoapOption::UriPath, b"teams".to_vec());
+    packet.add_option(ECHO_OPTION, vec![9; 40]);
+    packet.add_option(DEADLINE_OPTION, vec![3, 0xE8]);
+    packet.payload = b"team=owls".to_vec();
+    packet.to_bytes_unlimited().expect("the request is small")
+}
+
+#[test]
+fn a_request_is_read_with_ticket_and_patience() {
+    let (caller, service) = addresses();
+    let request = decode_request(caller, service, &post()).expect("the request is valid");
+    let ticket = request.ticket.map(|ticket| ticket.len());
+    let report = format!(
+        "{} {} {ticket:?} {:?}",
+        request.id, request.idempotent, request.patience
+    );
+    expect!["192.0.2.1:5683#77 false Some(40) 1s"].assert_eq(&report);
+}
+
+#[test]
+fn an_exchange_keeps_the_payload_and_drops_the_ticket() {
+    let dispatch =
+        encode_dispatch(&post(), 0x0102_0304, Duration::from_millis(700)).expect("it fits");
+    let packet = Packet::from_bytes(&dispatch).expect("it is valid");
+    let deadline = packet.get_first_option(DEADLINE_OPTION);
+    let echo = packet.get_first_option(ECHO_OPTION);
+    let report = format!(
+        "{:?} {:?} {deadline:?} {echo:?} {}",
+        packet.header.get_type(),
+        packet.get_token(),
+        String::from_utf8_lossy(&packet.payload)
+    );
+    expect!["NonConfirmable [0, 0, 0, 0, 1, 2, 3, 4] Some([2, 188]) None team=owls"]
+        .assert_eq(&report);
+}
+
+#[test]
+fn replies_have_their_own_codes() {
+    let (caller, service) = addresses();
+    let request = decode_request(caller, service, &post()).expect("the request is valid");
+    let replies = [
+        CallerReply::Challenge(vec![1; 40]),
+        CallerReply::NotRun {
+            retry_after: Duration::from_millis(1_200),
+        },
+        CallerReply::Unknown,
+        CallerReply::Invalid,
+    ];
+    let report = replies.map(|reply| {
+        let bytes = encode_reply(&request.id, &reply).expect("it fits");
+        let packet = Packet::from_bytes(&bytes).expect("it is valid");
+        let payload = String::from_utf8_lossy(&packet.payload).into_owned();
+        format!(
+            "{} {} {payload}",
+            packet.header.get_code(),
+            packet.header.message_id
+        )
+    });
+    expect![[r#"
+        4.01 77 not run: repeat with this ticket
+        5.03 77 not run
+        5.04 77 outcome unknown
+        4.00 77 not run: invalid request"#]]
+    .assert_eq(&report.join("\n"));
+}
+
+#[test]
+fn a_shed_request_is_told_from_an_answer() {
+    let mut packet = Packet::new();
+    packet.header.code = MessageClass::Response(ResponseType::ServiceUnavailable);
+    packet.set_token(7_u64.to_be_bytes().to_vec());
+    let shed = packet.to_bytes_unlimited().expect("it fits");
+    let message = decode_upstream_reply(&shed).expect("it is valid");
+    assert_eq!(
+        message,
+        UpstreamMessage {
+            exchange: 7,
+            reply: UpstreamReply::Shed
+        }
+    );
+    packet.set_token(vec![7]);
+    let foreign = packet.to_bytes_unlimited().expect("it fits");
+    assert_eq!(decode_upstream_reply(&foreign), Err(CoapError::Token));
+    assert_eq!(decode_upstream_reply(&post()), Err(CoapError::NotResponse));
+}
+
+proptest! {
+    #[test]
+    fn no_datagram_panics(datagram in prop::collection::vec(any::<u8>(), 0..64)) {
+        let (caller, service) = addresses();
+        let _request = decode_request(caller, service, &datagram);
+        let _reply = decode_upstream_reply(&datagram);
+    }
+
+    #[test]
+    fn no_damaged_request_panics(at in 0_usize..60, byte in any::<u8>(), cut in 0_usize..=60) {
+        let (caller, service) = addresses();
+        let mut datagram = post();
+        let last = datagram.len() - 1;
+        datagram[at.min(last)] = byte;
+        datagram.truncate(cut);
+        if let Ok(request) = decode_request(caller, service, &datagram) {
+            let _dispatch = encode_dispatch(&request.content, 1, request.patience);
+        }
+    }
+}
--- /dev/null
+++ b/crates/mustardgrade-wire/src/inner/parse.rs
@@ -0,0 +1,109 @@
+//! Reading of encapsulated IP packets.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use etherparse::{IpNumber, Ipv4Slice, TcpHeaderSlice, UdpSlice};
+use mustardgrade_core::flow::{FlowKey, FlowPacket, SegmentFlags};
+use thiserror::Error;
+
+/// `Result` of reading a packet.
+pub type Result<T> = std::result::Result<T, InnerError>;
+
+/// `InnerError` says why a packet cannot be routed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum InnerError {
+    /// The packet is no IPv4 packet, or its lengths contradict each other.
+    #[error("not a whole IPv4 packet")]
+    Malformed,
+    /// The packet is a fragment, so its ports may be missing.
+    #[error("fragment")]
+    Fragment,
+    /// The packet carries neither TCP nor UDP.
+    #[error("transport protocol {0}")]
+    Transport(u8),
+    /// The transport header is damaged.
+    #[error("damaged transport header")]
+    TransportHeader,
+}
+
+/// `UdpDatagram` is a UDP datagram within a packet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct UdpDatagram<'a> {
+    /// Sender.
+    pub source: SocketAddrV4,
+    /// Receiver.
+    pub destination: SocketAddrV4,
+    /// Payload.
+    pub payload: &'a [u8],
+}
+
+/// `InnerPacket` is what a packet carries.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum InnerPacket<'a> {
+    /// A TCP segment of a flow.
+    Tcp(FlowPacket),
+    /// A UDP datagram with a request.
+    Udp(UdpDatagram<'a>),
+}
+
+/// Reads a packet.
+///
+/// # Errors
+///
+/// Fails if the packet is malformed, a fragment, or carries neither TCP nor UDP.
+pub fn parse_packet(packet: &[u8]) -> Result<InnerPacket<'_>> {
+    let slice = Ipv4Slice::from_slice(packet).map_err(|_cause| InnerError::Malformed)?;
+    if slice.is_payload_fragmented() {
+        return Err(InnerError::Fragment);
+    }
+    let header = slice.header();
+    let source = header.source_addr();
+    let destination = header.destination_addr();
+    let payload = slice.payload().payload;
+    match slice.payload().ip_number {
+        IpNumber::TCP => parse_tcp(source, destination, payload),
+        IpNumber::UDP => parse_udp(source, destination, payload),
+        other => Err(InnerError::Transport(other.0)),
+    }
+}
+
+/// Returns the destination address of a packet.
+///
+/// # Errors
+///
+/// Fails if the packet is no IPv4 packet.
+pub fn destination_of(packet: &[u8]) -> Result<Ipv4Addr> {
+    let header =
+        etherparse::Ipv4HeaderSlice::from_slice(packet).map_err(|_cause| InnerError::Malformed)?;
+    Ok(header.destination_addr())
+}
+
+fn parse_tcp(source: Ipv4Addr, destination: Ipv4Addr, payload: &[u8]) -> Result<InnerPacket<'_>> {
+    let header =
+        TcpHeaderSlice::from_slice(payload).map_err(|_cause| InnerError::TransportHeader)?;
+    let length = payload.len() - header.slice().len();
+    Ok(InnerPacket::Tcp(FlowPacket {
+        key: FlowKey {
+            caller: SocketAddrV4::new(source, header.source_port()),
+            service: SocketAddrV4::new(destination, header.destination_port()),
+        },
+        flags: SegmentFlags {
+            syn: header.syn(),
+            ack: header.ack(),
+            fin: header.fin(),
+            rst: header.rst(),
+        },
+        sequence: header.sequence_number(),
+        acknowledgement: header.acknowledgment_number(),
+        payload_length: length as u16,
+    }))
+}
+
+fn parse_udp(source: Ipv4Addr, destination: Ipv4Addr, payload: &[u8]) -> Result<InnerPacket<'_>> {
+    let slice = UdpSlice::from_slice(payload).map_err(|_cause| InnerError::TransportHeader)?;
+    Ok(InnerPacket::Udp(UdpDatagram {
+        source: SocketAddrV4::new(source, slice.source_port()),
+        destination: SocketAddrV4::new(destination, slice.destination_port()),
+        payload: slice.payload(),
+    }))
+}
--- /dev/null
+++ b/crates/mustardgrade-wire/src/peer/message.rs
@@ -0,0 +1,132 @@
+//! Messages between hosts.
+
+use std::net::Ipv4Addr;
+
+use mustardgrade_core::flow::{BindingRecord, FlowNote, HopHeader};
+use mustardgrade_core::identity::{DataCentreId, HostId, HostIncarnation, ServiceId};
+use mustardgrade_core::membership::{HostDigest, HostState};
+use mustardgrade_core::placement::{BucketIndex, PlacementBook};
+use mustardgrade_core::request::KeeperMessage;
+use serde::{Deserialize, Serialize};
+
+/// `DigestBody` is a digest without what the frame says already.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DigestBody {
+    state: HostState,
+    data_centre: DataCentreId,
+    address: Ipv4Addr,
+    rules_revision: u64,
+    generation: u64,
+    settled: u64,
+    view: u64,
+}
+
+impl DigestBody {
+    /// Completes the digest with the sender and sequence number of its frame.
+    #[must_use]
+    pub fn complete(&self, from: HostIncarnation, sequence: u64) -> HostDigest {
+        HostDigest {
+            from,
+            sequence,
+            state: self.state,
+            data_centre: self.data_centre,
+            address: self.address,
+            rules_revision: self.rules_revision,
+            generation: self.generation,
+            settled: self.settled,
+            view: self.view,
+        }
+    }
+}
+
+impl From<&HostDigest> for DigestBody {
+    fn from(digest: &HostDigest) -> Self {
+        Self {
+            state: digest.state,
+            data_centre: digest.data_centre,
+            address: digest.address,
+            rules_revision: digest.rules_revision,
+            generation: digest.generation,
+            settled: digest.settled,
+            view: digest.view,
+        }
+    }
+}
+
+/// `PeerBody` is what one frame between hosts carries.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PeerBody {
+    /// A heartbeat.
+    Digest(DigestBody),
+    /// What the receiver shall know of flows.
+    Notes(Vec<FlowNote>),
+    /// A packet, which follows the body.
+    Hop(HopHeader),
+    /// A message about a request.
+    Keeper(KeeperMessage),
+}
+
+/// `PeerCall` is a call to another host.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PeerCall {
+    /// Asks for the rules and placement in force.
+    State,
+    /// Asks for all settled exceptions.
+    Exceptions,
+    /// Asks for the settled exceptions of buckets that the callee owns.
+    Settled {
+        /// The service.
+        service: ServiceId,
+        /// The buckets.
+        buckets: Vec<BucketIndex>,
+    },
+    /// Asks for the records that the calling host will own.
+    Records {
+        /// The calling host.
+        host: HostId,
+    },
+    /// Hands over records of a bucket whose chain the callee has joined.
+    Transfer {
+        /// The service.
+        service: ServiceId,
+        /// The records.
+        records: Vec<BindingRecord>,
+    },
+}
+
+/// `PeerReply` answers a [`PeerCall`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PeerReply {
+    /// The rules as text with their revision, and the placement.
+    State {
+        /// Revision of the rules; 0 if there are none.
+        revision: u64,
+        /// The rules.
+        rules: String,
+        /// The placement.
+        placement: PlacementBook,
+    },
+    /// Records by service, as of a generation.
+    Records {
+        /// Generation in force on the callee.
+        generation: u64,
+        /// The records.
+        services: Vec<ServiceRecordList>,
+    },
+    /// The call is carried out.
+    Accepted,
+    /// The callee cannot answer the call now.
+    Declined,
+}
+
+/// `ServiceRecordList` lists records of one service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceRecordList {
+    /// The service.
+    pub service: ServiceId,
+    /// The records.
+    pub records: Vec<BindingRecord>,
+}
