--- a/crates/mustardgrade-core/src/clock/mod.rs
+++ b/crates/mustardgrade-core/src/clock/mod.rs
@@ -21,9 +21,7 @@
     /// Creates a clock whose origin is the moment of the call.
     #[must_use]
     pub fn new() -> Self {
-        Self {
-            origin: Instant::now(),
-        }
+        Self { origin: Instant::now() }
     }
 }
 
--- a/crates/mustardgrade-core/src/flow/chain.rs
+++ b/crates/mustardgrade-core/src/flow/chain.rs
@@ -57,10 +57,8 @@
         OwnerRole::Upcoming => upcoming,
         OwnerRole::None => false,
     };
-    let local = members
-        .iter()
-        .filter(counts)
-        .filter(|member| Some(member.data_centre) == data_centre);
+    let local =
+        members.iter().filter(counts).filter(|member| Some(member.data_centre) == data_centre);
     best_two(key, local).or_else(|| best_two(key, members.iter().filter(counts)))
 }
 
@@ -77,8 +75,5 @@
         }
     }
     let (_, owner) = best?;
-    Some(OwnerChain {
-        owner,
-        replica: second.map(|(_, host)| host),
-    })
+    Some(OwnerChain { owner, replica: second.map(|(_, host)| host) })
 }
--- a/crates/mustardgrade-core/src/flow/hop.rs
+++ b/crates/mustardgrade-core/src/flow/hop.rs
@@ -28,6 +28,8 @@
     pub stage: HopStage,
     /// Host that received the packet from the fabric.
     pub asker: HostId,
+    /// Traffic thread of the asking host.
+    pub asker_lane: u8,
     /// Host that sent this hop.
     pub sender: HostId,
     /// Placement generation of the sender.
@@ -66,6 +68,8 @@
 pub struct PeerNote {
     /// The receiver.
     pub to: HostId,
+    /// Traffic thread of the receiver.
+    pub lane: u8,
     /// What it is told.
     pub note: FlowNote,
 }
--- a/crates/mustardgrade-core/src/flow/packet.rs
+++ b/crates/mustardgrade-core/src/flow/packet.rs
@@ -33,10 +33,7 @@
 
 /// `SegmentFlags` are the TCP flags that routing looks at (RFC 9293, section 3.1).
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
-#[expect(
-    clippy::struct_excessive_bools,
-    reason = "these are the flag bits of the TCP header"
-)]
+#[expect(clippy::struct_excessive_bools, reason = "these are the flag bits of the TCP header")]
 pub struct SegmentFlags {
     /// The segment opens the flow.
     pub syn: bool,
--- a/crates/mustardgrade-core/src/flow/records.rs
+++ b/crates/mustardgrade-core/src/flow/records.rs
@@ -51,11 +51,7 @@
     /// Creates a table for at most `capacity` records.
     #[must_use]
     pub fn new(capacity: usize) -> Self {
-        Self {
-            services: HashMap::new(),
-            count: 0,
-            capacity,
-        }
+        Self { services: HashMap::new(), count: 0, capacity }
     }
 
     /// Returns the number of records.
@@ -85,10 +81,7 @@
         if self.count >= self.capacity && !records.contains_key(&record.fingerprint) {
             return false;
         }
-        if records
-            .insert(record.fingerprint, record.upstream)
-            .is_none()
-        {
+        if records.insert(record.fingerprint, record.upstream).is_none() {
             self.count += 1;
         }
         true
@@ -104,10 +97,8 @@
 
     /// Removes the record of a flow.
     pub fn remove(&mut self, service: ServiceId, fingerprint: u64) {
-        let removed = self
-            .services
-            .get_mut(&service)
-            .and_then(|records| records.remove(&fingerprint));
+        let removed =
+            self.services.get_mut(&service).and_then(|records| records.remove(&fingerprint));
         self.count -= usize::from(removed.is_some());
     }
 
@@ -118,10 +109,7 @@
         };
         let before = records.len();
         records.retain(|fingerprint, upstream| {
-            keep(BindingRecord {
-                fingerprint: *fingerprint,
-                upstream: *upstream,
-            })
+            keep(BindingRecord { fingerprint: *fingerprint, upstream: *upstream })
         });
         self.count -= before - records.len();
         if records.capacity() > 4 * records.len() {
--- a/crates/mustardgrade-core/src/flow/router.rs
+++ b/crates/mustardgrade-core/src/flow/router.rs
@@ -48,6 +48,10 @@
     pub idle: Duration,
     /// Time without any word from a peer after which unknown flows are not placed here.
     pub fence: Duration,
+    /// Number of this traffic thread.
+    pub lane: u8,
+    /// Traffic threads of each host; equal on all hosts.
+    pub lanes: u8,
     /// Answers a second that the host sends to askers at most.
     pub answers_per_second: u32,
 }
@@ -61,6 +65,8 @@
             record_capacity: 1_048_576,
             idle: Duration::from_secs(300),
             fence: Duration::from_millis(1_200),
+            lane: 0,
+            lanes: 1,
             answers_per_second: 100,
         }
     }
@@ -82,6 +88,8 @@
         to: HostId,
         /// Its address.
         address: Ipv4Addr,
+        /// Its traffic thread for the flow's bucket.
+        lane: u8,
         /// What travels with the packet.
         header: HopHeader,
     },
@@ -207,9 +215,7 @@
         let Some(route) = self.snapshot.service(service) else {
             return Vec::new();
         };
-        self.records.select(service, |record| {
-            wanted(route.table.bucket_of(record.fingerprint))
-        })
+        self.records.select(service, |record| wanted(route.table.bucket_of(record.fingerprint)))
     }
 
     // Commands.
@@ -232,15 +238,10 @@
             }
             let table = &route.table;
             self.records.retain(route.service, |record| {
-                table
-                    .slot(table.bucket_of(record.fingerprint))
-                    .phase
-                    .is_guarded()
+                table.slot(table.bucket_of(record.fingerprint)).phase.is_guarded()
             });
             self.exceptions.retain(route.service, |record| {
-                route
-                    .upstream(record.upstream)
-                    .is_some_and(|upstream| upstream.reachable)
+                route.upstream(record.upstream).is_some_and(|upstream| upstream.reachable)
             });
         }
         self.plan_transfers(&snapshot);
@@ -270,12 +271,11 @@
             let mut gaining: Vec<_> = gaining.into_iter().collect();
             gaining.sort_unstable_by_key(|(host, _)| *host);
             let service = route.service;
-            self.transfers
-                .extend(gaining.into_iter().map(|(to, records)| RecordTransfer {
-                    to,
-                    service,
-                    records,
-                }));
+            self.transfers.extend(gaining.into_iter().map(|(to, records)| RecordTransfer {
+                to,
+                service,
+                records,
+            }));
         }
     }
 
@@ -333,10 +333,7 @@
 
     /// Takes in what another host says of a flow.
     pub fn learn(&mut self, note: &FlowNote, now: Duration) {
-        let record = BindingRecord {
-            fingerprint: note.fingerprint,
-            upstream: note.upstream,
-        };
+        let record = BindingRecord { fingerprint: note.fingerprint, upstream: note.upstream };
         match note.kind {
             NoteKind::Answer => self.learn_answer(note, now),
             NoteKind::Correction => {
@@ -391,10 +388,7 @@
         let kept = |bucket| {
             let now = self.snapshot.chain(route, bucket);
             let soon = self.snapshot.upcoming_chain(route, bucket);
-            [now, soon]
-                .into_iter()
-                .flatten()
-                .any(|chain| chain.contains(host))
+            [now, soon].into_iter().flatten().any(|chain| chain.contains(host))
         };
         self.bucket_records(service, &kept)
     }
@@ -409,14 +403,7 @@
         let fingerprint = packet.key.fingerprint(self.options.fingerprint_seed);
         let bucket = route.table.bucket_of(fingerprint);
         let slot = route.table.slot(bucket);
-        Some(FlowCase {
-            packet,
-            route,
-            fingerprint,
-            bucket,
-            slot,
-            now,
-        })
+        Some(FlowCase { packet, route, fingerprint, bucket, slot, now })
     }
 
     fn route_computed(&mut self, case: FlowCase<'_>) -> FlowVerdict {
@@ -481,6 +468,7 @@
         let header = HopHeader {
             stage: HopStage::Owner { claim },
             asker: self.me,
+            asker_lane: self.options.lane,
             sender: self.me,
             generation: snapshot.generation,
             hops: 0,
@@ -489,13 +477,13 @@
             // The table here may be old, so the decision is left to a host that hears its peers.
             let other = [Some(chain.owner), chain.replica].into_iter().flatten();
             return match other.into_iter().find(|host| *host != self.me) {
-                Some(host) => self.hop_to(&snapshot, host, header),
+                Some(host) => self.hop_to(case, &snapshot, host, header),
                 None => self.drop_packet(DropCause::Fenced),
             };
         }
         match chain.owner == self.me {
             true => self.decide(case, header, claim),
-            false => self.hop_to(&snapshot, chain.owner, header),
+            false => self.hop_to(case, &snapshot, chain.owner, header),
         }
     }
 
@@ -504,7 +492,7 @@
         let service = case.route.service;
         if let Some(upstream) = self.records.get(service, case.fingerprint) {
             let wrong = claim.is_some_and(|claimed| claimed != upstream);
-            self.answer(case, hop.asker, upstream, wrong);
+            self.answer(case, &hop, upstream, wrong);
             return self.deliver(case, upstream);
         }
         if self.is_fenced(case.now) {
@@ -532,7 +520,7 @@
             ..hop
         };
         match next {
-            Some(host) => self.hop_to(&snapshot, host, header),
+            Some(host) => self.hop_to(case, &snapshot, host, header),
             None => self.deliver(case, upstream),
         }
     }
@@ -549,9 +537,10 @@
         };
         if upstream != verdict {
             self.counters.conflicts += 1;
-            self.note(case, hop.sender, upstream, NoteKind::Correction);
+            let lane = self.bucket_lane(case.bucket);
+            self.note(case, hop.sender, lane, upstream, NoteKind::Correction);
         }
-        self.answer(case, hop.asker, upstream, upstream != verdict);
+        self.answer(case, &hop, upstream, upstream != verdict);
         self.deliver(case, upstream)
     }
 
@@ -564,68 +553,57 @@
         let Some(soon) = snapshot.upcoming_chain(case.route, case.bucket) else {
             return;
         };
-        for host in soon
-            .hosts()
-            .filter(|host| !now.is_some_and(|chain| chain.contains(*host)))
-        {
-            self.note(case, host, upstream, NoteKind::Copy);
+        for host in soon.hosts().filter(|host| !now.is_some_and(|chain| chain.contains(*host))) {
+            let lane = self.bucket_lane(case.bucket);
+            self.note(case, host, lane, upstream, NoteKind::Copy);
         }
     }
 
     fn record(&mut self, service: ServiceId, fingerprint: u64, upstream: u16) {
-        let stored = self.records.insert(
-            service,
-            BindingRecord {
-                fingerprint,
-                upstream,
-            },
-        );
+        let stored = self.records.insert(service, BindingRecord { fingerprint, upstream });
         self.counters.records_full += u64::from(!stored);
     }
 
     /// Answers the asking host, within the budget unless the answer is urgent.
-    fn answer(&mut self, case: FlowCase<'_>, to: HostId, upstream: u16, urgent: bool) {
-        if to != self.me && (urgent || self.spend_answer(case.now)) {
+    fn answer(&mut self, case: FlowCase<'_>, hop: &HopHeader, upstream: u16, urgent: bool) {
+        if hop.asker != self.me && (urgent || self.spend_answer(case.now)) {
             self.counters.answers += 1;
-            self.note(case, to, upstream, NoteKind::Answer);
+            self.note(case, hop.asker, hop.asker_lane, upstream, NoteKind::Answer);
         }
     }
 
-    fn note(&mut self, case: FlowCase<'_>, to: HostId, upstream: u16, kind: NoteKind) {
+    fn note(&mut self, case: FlowCase<'_>, to: HostId, lane: u8, upstream: u16, kind: NoteKind) {
         let service = case.route.service;
         let fingerprint = case.fingerprint;
-        self.notes.push(PeerNote {
-            to,
-            note: FlowNote {
-                kind,
-                service,
-                fingerprint,
-                upstream,
-            },
-        });
+        let note = FlowNote { kind, service, fingerprint, upstream };
+        self.notes.push(PeerNote { to, lane, note });
+    }
+
+    /// Returns the traffic thread that keeps the records of a bucket.
+    fn bucket_lane(&self, bucket: BucketIndex) -> u8 {
+        (bucket.0 % u32::from(self.options.lanes.max(1))) as u8
     }
 
     fn spend_answer(&mut self, now: Duration) -> bool {
         if self.budget.second != now.as_secs() {
-            self.budget = AnswerBudget {
-                second: now.as_secs(),
-                spent: 0,
-            };
+            self.budget = AnswerBudget { second: now.as_secs(), spent: 0 };
         }
         self.budget.spent += 1;
         self.budget.spent <= self.options.answers_per_second
     }
 
-    fn hop_to(&mut self, snapshot: &RoutingSnapshot, to: HostId, header: HopHeader) -> FlowVerdict {
+    fn hop_to(
+        &mut self,
+        case: FlowCase<'_>,
+        snapshot: &RoutingSnapshot,
+        to: HostId,
+        header: HopHeader,
+    ) -> FlowVerdict {
         let Some(address) = snapshot.host_address(to) else {
             return self.drop_packet(DropCause::NoUpstream);
         };
         self.counters.hopped += 1;
-        FlowVerdict::Hop {
-            to,
-            address,
-            header,
-        }
+        FlowVerdict::Hop { to, address, lane: self.bucket_lane(case.bucket), header }
     }
 
     /// Sends a packet to an upstream index, if it may receive this packet.
@@ -638,10 +616,7 @@
         }
         self.note_flow(case, upstream);
         self.counters.tunnelled += 1;
-        FlowVerdict::Tunnel {
-            upstream: route.upstream,
-            address: route.address,
-        }
+        FlowVerdict::Tunnel { upstream: route.upstream, address: route.address }
     }
 
     fn give_up(&mut self, case: FlowCase<'_>) -> FlowVerdict {
@@ -664,13 +639,7 @@
             entry.guard_tag = tag;
             return;
         }
-        self.remember(
-            case.fingerprint,
-            upstream,
-            tag,
-            case.packet.opens(),
-            case.now,
-        );
+        self.remember(case.fingerprint, upstream, tag, case.packet.opens(), case.now);
     }
 
     fn remember(&mut self, fingerprint: u64, upstream: u16, tag: u8, opening: bool, now: Duration) {
@@ -680,9 +649,7 @@
 
     fn guard_tag(&self, service: ServiceId, bucket: BucketIndex) -> u8 {
         let tags = self.guard_tags.get(&service);
-        tags.and_then(|tags| tags.get(bucket.0 as usize))
-            .copied()
-            .unwrap_or_default()
+        tags.and_then(|tags| tags.get(bucket.0 as usize)).copied().unwrap_or_default()
     }
 
     fn drop_packet(&mut self, cause: DropCause) -> FlowVerdict {
--- a/crates/mustardgrade-core/src/flow/snapshot.rs
+++ b/crates/mustardgrade-core/src/flow/snapshot.rs
@@ -88,9 +88,7 @@
     /// Returns the service that callers reach at `address`.
     #[must_use]
     pub fn service_at(&self, address: SocketAddrV4) -> Option<&ServiceRoute> {
-        self.addresses
-            .get(&address)
-            .map(|index| &self.services[*index])
+        self.addresses.get(&address).map(|index| &self.services[*index])
     }
 
     /// Returns the route of a service.
@@ -114,9 +112,7 @@
     /// Tells whether any host is about to serve.
     #[must_use]
     pub fn has_upcoming(&self) -> bool {
-        self.members
-            .iter()
-            .any(|member| member.role == OwnerRole::Upcoming)
+        self.members.iter().any(|member| member.role == OwnerRole::Upcoming)
     }
 
     fn chain_with(
@@ -133,10 +129,7 @@
     /// Returns the address of a live host.
     #[must_use]
     pub fn host_address(&self, host: HostId) -> Option<Ipv4Addr> {
-        self.members
-            .iter()
-            .find(|member| member.host == host)
-            .map(|member| member.address)
+        self.members.iter().find(|member| member.host == host).map(|member| member.address)
     }
 }
 
@@ -166,21 +159,14 @@
         members: inputs.members.to_vec(),
         ..RoutingSnapshot::default()
     };
-    let flow_services = inputs
-        .rules
-        .services
-        .iter()
-        .filter(|service| service.class == ServiceClass::Flow);
+    let flow_services =
+        inputs.rules.services.iter().filter(|service| service.class == ServiceClass::Flow);
     for service in flow_services {
         let Some(table) = inputs.book.table(service.id()) else {
             continue;
         };
-        snapshot
-            .addresses
-            .insert(service.address, snapshot.services.len());
-        snapshot
-            .services
-            .push(service_route(inputs, service, table));
+        snapshot.addresses.insert(service.address, snapshot.services.len());
+        snapshot.services.push(service_route(inputs, service, table));
     }
     snapshot
 }
@@ -202,18 +188,11 @@
             table.slots[bucket] = effective_slot(slot, bucket, &upstreams, inputs.rules_echoed);
         }
     }
-    ServiceRoute {
-        service: service.id(),
-        table,
-        upstreams,
-    }
+    ServiceRoute { service: service.id(), table, upstreams }
 }
 
 fn upstream_route(rules: &RuleBook, service: &ServiceRule, upstream: UpstreamId) -> UpstreamRoute {
-    match rules
-        .upstreams_of(&service.name)
-        .find(|rule| rule.id() == upstream)
-    {
+    match rules.upstreams_of(&service.name).find(|rule| rule.id() == upstream) {
         Some(rule) => UpstreamRoute {
             upstream,
             address: rule.address,
@@ -255,16 +234,8 @@
     let collecting = matches!(slot.phase, BucketPhase::Collecting | BucketPhase::Settling);
     let moves = target != UNPLACED && (rules_echoed || collecting);
     match moves {
-        true => BucketSlot {
-            base: unlisted,
-            current: target,
-            phase: BucketPhase::Collecting,
-        },
-        false => BucketSlot {
-            base: unlisted,
-            current: unlisted,
-            phase: BucketPhase::Announced,
-        },
+        true => BucketSlot { base: unlisted, current: target, phase: BucketPhase::Collecting },
+        false => BucketSlot { base: unlisted, current: unlisted, phase: BucketPhase::Announced },
     }
 }
 
--- a/crates/mustardgrade-core/src/flow/table.rs
+++ b/crates/mustardgrade-core/src/flow/table.rs
@@ -21,13 +21,8 @@
     pub opening: bool,
 }
 
-const EMPTY_ENTRY: FlowEntry = FlowEntry {
-    fingerprint: 0,
-    seen_secs: 0,
-    upstream: EMPTY,
-    guard_tag: 0,
-    opening: false,
-};
+const EMPTY_ENTRY: FlowEntry =
+    FlowEntry { fingerprint: 0, seen_secs: 0, upstream: EMPTY, guard_tag: 0, opening: false };
 
 /// `InsertOutcome` says what became of an inserted flow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -54,10 +49,7 @@
     pub fn new(capacity: usize, idle: Duration) -> Self {
         // Twice the room keeps the share of overfull sets under 1 % at the stated capacity.
         let sets = (capacity.max(SET_WAYS) * 2 / SET_WAYS).next_power_of_two();
-        Self {
-            sets: vec![[EMPTY_ENTRY; SET_WAYS]; sets],
-            idle_secs: idle.as_secs() as u32,
-        }
+        Self { sets: vec![[EMPTY_ENTRY; SET_WAYS]; sets], idle_secs: idle.as_secs() as u32 }
     }
 
     /// Returns the entry of a flow and marks it as seen.
@@ -91,23 +83,14 @@
         let Some(way) = victim(set, fingerprint, now, idle) else {
             return InsertOutcome::Full;
         };
-        set[way] = FlowEntry {
-            fingerprint,
-            seen_secs: now,
-            upstream,
-            guard_tag,
-            opening,
-        };
+        set[way] = FlowEntry { fingerprint, seen_secs: now, upstream, guard_tag, opening };
         InsertOutcome::Stored
     }
 
     /// Forgets a flow.
     pub fn remove(&mut self, fingerprint: u64) {
         let set = self.set_mut(fingerprint);
-        for entry in set
-            .iter_mut()
-            .filter(|entry| entry.fingerprint == fingerprint)
-        {
+        for entry in set.iter_mut().filter(|entry| entry.fingerprint == fingerprint) {
             *entry = EMPTY_ENTRY;
         }
     }
@@ -136,14 +119,9 @@
 
 /// Picks the entry that a flow is stored in: its own, an empty, an idle, or an opening one.
 fn victim(set: &[FlowEntry; SET_WAYS], fingerprint: u64, now: u32, idle: u32) -> Option<usize> {
-    let own = set
-        .iter()
-        .position(|e| e.upstream != EMPTY && e.fingerprint == fingerprint);
+    let own = set.iter().position(|e| e.upstream != EMPTY && e.fingerprint == fingerprint);
     own.or_else(|| set.iter().position(|entry| entry.upstream == EMPTY))
-        .or_else(|| {
-            set.iter()
-                .position(|entry| now.saturating_sub(entry.seen_secs) > idle)
-        })
+        .or_else(|| set.iter().position(|entry| now.saturating_sub(entry.seen_secs) > idle))
         .or_else(|| {
             let opening = (0..SET_WAYS).filter(|way| set[*way].opening);
             opening.min_by_key(|way| set[*way].seen_secs)
--- a/crates/mustardgrade-core/src/membership/controller.rs
+++ b/crates/mustardgrade-core/src/membership/controller.rs
@@ -167,10 +167,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum LeaveStep {
     Staying,
-    Leaving {
-        since: Duration,
-        converged_at: Option<Duration>,
-    },
+    Leaving { since: Duration, converged_at: Option<Duration> },
     Stopped,
 }
 
@@ -286,18 +283,10 @@
         let local = |digest: &&HostDigest| {
             digest.data_centre == self.options.data_centre && digest.state != HostState::Stopped
         };
-        let digests = self
-            .members
-            .live()
-            .map(|member| &member.digest)
-            .chain([&own])
-            .filter(local);
+        let digests = self.members.live().map(|member| &member.digest).chain([&own]).filter(local);
         let hosts: Vec<HostId> = digests.map(|digest| digest.from.host).collect();
         let order = rendezvous_order(WATCHER_KEY, &hosts);
-        order
-            .iter()
-            .take(WATCHERS_PER_DATA_CENTRE)
-            .any(|host| *host == self.options.me.host)
+        order.iter().take(WATCHERS_PER_DATA_CENTRE).any(|host| *host == self.options.me.host)
     }
 
     // Commands.
@@ -317,11 +306,7 @@
             ControllerInput::Rules(rules) => self.take_rules(rules),
             ControllerInput::Placement(placement) => self.take_placement(placement, now),
             ControllerInput::ExceptionsFetched(generation) => self.take_exceptions(generation),
-            ControllerInput::BucketsSettled {
-                service,
-                generation,
-                buckets,
-            } => {
+            ControllerInput::BucketsSettled { service, generation, buckets } => {
                 self.take_settled(service, generation, &buckets);
             }
             ControllerInput::RecordsFetched => {
@@ -375,11 +360,7 @@
 
     /// Puts rules in force unless the host has seen newer ones.
     fn take_rules(&mut self, rules: StoredRules) {
-        if self
-            .rules
-            .as_ref()
-            .is_some_and(|known| known.revision >= rules.revision)
-        {
+        if self.rules.as_ref().is_some_and(|known| known.revision >= rules.revision) {
             return;
         }
         self.last_fetch = None;
@@ -440,9 +421,8 @@
         let Some(table) = self.placement.table(service) else {
             return;
         };
-        let settling = buckets
-            .iter()
-            .filter(|bucket| table.slot(**bucket).phase == BucketPhase::Settling);
+        let settling =
+            buckets.iter().filter(|bucket| table.slot(**bucket).phase == BucketPhase::Settling);
         self.covered.entry(service).or_default().extend(settling);
         self.last_settle_fetch = None;
         self.update_settled();
@@ -509,11 +489,8 @@
             let seeds = self.options.seeds.iter().copied();
             let peers = self.peer_addresses();
             let own = self.options.address;
-            let candidates: Vec<Ipv4Addr> = peers
-                .into_iter()
-                .chain(seeds)
-                .filter(|address| *address != own)
-                .collect();
+            let candidates: Vec<Ipv4Addr> =
+                peers.into_iter().chain(seeds).filter(|address| *address != own).collect();
             // A different peer is asked each time, since any of them may be gone.
             if !candidates.is_empty() {
                 let index = (now.as_millis() / FETCH_RETRY.as_millis()) as usize % candidates.len();
@@ -553,39 +530,25 @@
         let ready = |digest: &&HostDigest| {
             digest.state == HostState::Serving && digest.generation >= self.placement.generation
         };
-        let digests = self
-            .members
-            .live()
-            .map(|member| &member.digest)
-            .filter(ready);
+        let digests = self.members.live().map(|member| &member.digest).filter(ready);
         let addresses: Vec<Ipv4Addr> = digests.map(|digest| digest.address).collect();
         let index = self.sequence as usize % addresses.len().max(1);
         addresses.get(index).copied()
     }
 
     fn peer_addresses(&self) -> Vec<Ipv4Addr> {
-        self.members
-            .live()
-            .map(|member| member.digest.address)
-            .collect()
+        self.members.live().map(|member| member.digest.address).collect()
     }
 
     fn start_leave(&mut self, now: Duration) {
         if self.leave == LeaveStep::Staying {
-            self.leave = LeaveStep::Leaving {
-                since: now,
-                converged_at: None,
-            };
+            self.leave = LeaveStep::Leaving { since: now, converged_at: None };
             self.dirty = true;
         }
     }
 
     fn advance_leave(&mut self, now: Duration, out: &mut Vec<ControllerOutput>) {
-        let LeaveStep::Leaving {
-            since,
-            converged_at,
-        } = self.leave
-        else {
+        let LeaveStep::Leaving { since, converged_at } = self.leave else {
             return;
         };
         let view = self.digest().view;
@@ -593,10 +556,7 @@
             true => converged_at.or(Some(now)),
             false => converged_at,
         };
-        self.leave = LeaveStep::Leaving {
-            since,
-            converged_at,
-        };
+        self.leave = LeaveStep::Leaving { since, converged_at };
         let handed_over = converged_at.is_some_and(|at| now >= at + LEAVE_GRACE);
         if handed_over || now >= since + LEAVE_PATIENCE {
             self.leave = LeaveStep::Stopped;
@@ -617,12 +577,7 @@
         self.plan_if_due(now, out);
         let after = self.digest();
         let echoed = |digest: &HostDigest| {
-            (
-                digest.state,
-                digest.rules_revision,
-                digest.generation,
-                digest.settled,
-            )
+            (digest.state, digest.rules_revision, digest.generation, digest.settled)
         };
         if echoed(before) != echoed(&after) {
             self.send_digest(now, out);
@@ -640,10 +595,7 @@
         to.retain(|address| *address != self.options.address);
         to.sort_unstable();
         to.dedup();
-        out.push(ControllerOutput::SendDigest {
-            to,
-            digest: self.digest(),
-        });
+        out.push(ControllerOutput::SendDigest { to, digest: self.digest() });
     }
 
     fn install_snapshot(&mut self, out: &mut Vec<ControllerOutput>) {
@@ -666,10 +618,8 @@
     }
 
     fn report_heard(&self, now: Duration, out: &mut Vec<ControllerOutput>) {
-        let behind = self
-            .members
-            .live()
-            .any(|member| member.digest.generation > self.placement.generation);
+        let behind =
+            self.members.live().any(|member| member.digest.generation > self.placement.generation);
         let ready = self.state() != HostState::Joining && self.exceptions_complete;
         if ready && !behind && !self.members.is_fenced() {
             out.push(ControllerOutput::Heard(now));
@@ -677,9 +627,7 @@
     }
 
     fn fetch_settled(&mut self, now: Duration, out: &mut Vec<ControllerOutput>) {
-        let waited = self
-            .last_settle_fetch
-            .is_none_or(|last| now >= last + FETCH_RETRY);
+        let waited = self.last_settle_fetch.is_none_or(|last| now >= last + FETCH_RETRY);
         let Some(snapshot) = self.last_snapshot.clone().filter(|_| waited) else {
             return;
         };
@@ -691,10 +639,7 @@
             let Some(chain) = snapshot.chain(route, bucket) else {
                 continue;
             };
-            wanted
-                .entry((chain.owner, service))
-                .or_default()
-                .push(bucket);
+            wanted.entry((chain.owner, service)).or_default().push(bucket);
         }
         if wanted.is_empty() {
             self.update_settled();
@@ -736,14 +681,8 @@
         let rank = self.proposer_rank();
         let weight = |rule: &UpstreamRule| u32::from(rule.slots) * WARM_WEIGHT_PER_SLOT;
         let echo = self.members.echo_state(&own);
-        let proposal = self.planner.propose(
-            &self.placement,
-            &rules.book,
-            rules.revision,
-            &weight,
-            echo,
-            now,
-        );
+        let proposal =
+            self.planner.propose(&self.placement, &rules.book, rules.revision, &weight, echo, now);
         let Some(book) = proposal else {
             self.wanted_since = None;
             return;
@@ -756,11 +695,7 @@
 
     fn proposer_rank(&self) -> u32 {
         let serving = |digest: &&HostDigest| digest.state == HostState::Serving;
-        let digests = self
-            .members
-            .live()
-            .map(|member| &member.digest)
-            .filter(serving);
+        let digests = self.members.live().map(|member| &member.digest).filter(serving);
         let mut hosts: Vec<HostId> = digests.map(|digest| digest.from.host).collect();
         hosts.push(self.options.me.host);
         let order = rendezvous_order(PROPOSER_KEY, &hosts);
--- a/crates/mustardgrade-core/src/membership/member.rs
+++ b/crates/mustardgrade-core/src/membership/member.rs
@@ -170,29 +170,15 @@
     #[must_use]
     pub fn echo_state(&self, own: &HostDigest) -> EchoState {
         let routing = |digest: &&HostDigest| digest.state != HostState::Joining;
-        let digests = || {
-            self.live()
-                .map(|member| &member.digest)
-                .chain([own])
-                .filter(routing)
-        };
+        let digests = || self.live().map(|member| &member.digest).chain([own]).filter(routing);
         let missing = self.listed.iter().any(|listed| {
-            let heard = self
-                .members
-                .get(&listed.host)
-                .is_some_and(|member| self.is_live(member));
+            let heard = self.members.get(&listed.host).is_some_and(|member| self.is_live(member));
             let expected = listed.host != self.me && !listed.leaving;
             expected && !heard && !self.is_out(listed.data_centre)
         });
         EchoState {
-            applied: digests()
-                .map(|digest| digest.generation)
-                .min()
-                .unwrap_or_default(),
-            settled: digests()
-                .map(|digest| digest.settled)
-                .min()
-                .unwrap_or_default(),
+            applied: digests().map(|digest| digest.generation).min().unwrap_or_default(),
+            settled: digests().map(|digest| digest.settled).min().unwrap_or_default(),
             listed_missing: missing,
         }
     }
@@ -238,9 +224,7 @@
 
     /// Counts the time since the last call as running time, unless the host was paused.
     pub fn tick(&mut self, now: Duration) {
-        let step = self
-            .last_tick
-            .map_or(Duration::ZERO, |last| now.saturating_sub(last));
+        let step = self.last_tick.map_or(Duration::ZERO, |last| now.saturating_sub(last));
         // A longer step means that this host did not run; its peers are not to blame for it.
         self.active_time += step.min(self.options.heartbeat);
         self.last_tick = Some(now);
@@ -262,21 +246,11 @@
         let newest = |known: &HostDigest| {
             (known.from.incarnation, known.sequence) < (digest.from.incarnation, digest.sequence)
         };
-        if !self
-            .members
-            .get(&host)
-            .is_none_or(|known| newest(&known.digest))
-        {
+        if !self.members.get(&host).is_none_or(|known| newest(&known.digest)) {
             return false;
         }
         self.last_heard = self.active_time;
-        self.members.insert(
-            host,
-            HostMember {
-                digest: *digest,
-                heard_at: self.active_time,
-            },
-        );
+        self.members.insert(host, HostMember { digest: *digest, heard_at: self.active_time });
         true
     }
 
--- a/crates/mustardgrade-core/src/placement/assign.rs
+++ b/crates/mustardgrade-core/src/placement/assign.rs
@@ -54,10 +54,7 @@
 /// Counts the buckets that differ between two assignments of one length.
 #[must_use]
 pub fn count_moves(old: &[u16], new: &[u16]) -> usize {
-    old.iter()
-        .zip(new)
-        .filter(|(before, after)| before != after)
-        .count()
+    old.iter().zip(new).filter(|(before, after)| before != after).count()
 }
 
 fn assign_bounded(previous: &[u16], weights: &[UpstreamWeight]) -> Vec<u16> {
@@ -75,9 +72,7 @@
             assigned[*bucket] = previous[*bucket];
         }
     }
-    let homeless = order
-        .into_iter()
-        .filter(|bucket| assigned[*bucket] == UNPLACED);
+    let homeless = order.into_iter().filter(|bucket| assigned[*bucket] == UNPLACED);
     for bucket in homeless.collect::<Vec<_>>() {
         let index = roomiest(&room, &targets, weights, bucket);
         room[index] -= 1;
@@ -92,10 +87,7 @@
         .filter(|index| room[*index] > 0)
         .max_by_key(|index| {
             let share = room[*index] * 1_000_000 / targets[*index].max(1);
-            (
-                share,
-                rendezvous_score(bucket as u64, weights[*index].upstream.0),
-            )
+            (share, rendezvous_score(bucket as u64, weights[*index].upstream.0))
         })
         .unwrap_or_default()
 }
@@ -104,16 +96,11 @@
 fn bucket_targets(count: usize, weights: &[UpstreamWeight]) -> Vec<usize> {
     let total: u64 = weights.iter().map(|weight| u64::from(weight.weight)).sum();
     let exact = |weight: &UpstreamWeight| count as u64 * u64::from(weight.weight);
-    let mut targets: Vec<usize> = weights
-        .iter()
-        .map(|weight| (exact(weight) / total) as usize)
-        .collect();
+    let mut targets: Vec<usize> =
+        weights.iter().map(|weight| (exact(weight) / total) as usize).collect();
     let mut order: Vec<usize> = (0..weights.len()).collect();
     order.sort_by_key(|index| {
-        (
-            std::cmp::Reverse(exact(&weights[*index]) % total),
-            weights[*index].upstream,
-        )
+        (std::cmp::Reverse(exact(&weights[*index]) % total), weights[*index].upstream)
     });
     let missing = count - targets.iter().sum::<usize>();
     for index in order.into_iter().take(missing) {
@@ -146,11 +133,7 @@
     let mut assigned = vec![UNPLACED; count];
     let mut next = vec![0_usize; weights.len()];
     let mut credit = vec![0_u64; weights.len()];
-    let largest = weights
-        .iter()
-        .map(|weight| u64::from(weight.weight))
-        .max()
-        .unwrap_or(1);
+    let largest = weights.iter().map(|weight| u64::from(weight.weight)).max().unwrap_or(1);
     let mut filled = 0;
     while filled < count {
         for (index, weight) in weights.iter().enumerate() {
--- a/crates/mustardgrade-core/src/placement/planner.rs
+++ b/crates/mustardgrade-core/src/placement/planner.rs
@@ -25,11 +25,7 @@
 
 impl Default for PlannerOptions {
     fn default() -> Self {
-        Self {
-            method: AssignMethod::Bounded,
-            guarded: true,
-            collect_time: Duration::from_secs(60),
-        }
+        Self { method: AssignMethod::Bounded, guarded: true, collect_time: Duration::from_secs(60) }
     }
 }
 
@@ -67,10 +63,7 @@
     /// Creates a planner.
     #[must_use]
     pub fn new(options: PlannerOptions) -> Self {
-        Self {
-            options,
-            collecting_since: Vec::new(),
-        }
+        Self { options, collecting_since: Vec::new() }
     }
 
     /// Records which buckets are collecting; called whenever a generation comes into force.
@@ -86,12 +79,7 @@
                 let Some(upstream) = table.upstream(slot.current) else {
                     continue;
                 };
-                fresh.push(CollectStart {
-                    service: table.service,
-                    bucket,
-                    upstream,
-                    since: now,
-                });
+                fresh.push(CollectStart { service: table.service, bucket, upstream, since: now });
             }
         }
         let key = |start: &CollectStart| (start.service, start.bucket, start.upstream);
@@ -117,15 +105,10 @@
         echo: EchoState,
         now: Duration,
     ) -> Option<PlacementBook> {
-        let mut next = PlacementBook {
-            generation: book.generation + 1,
-            rules_revision,
-            tables: Vec::new(),
-        };
-        let flow_services = rules
-            .services
-            .iter()
-            .filter(|service| service.class == ServiceClass::Flow);
+        let mut next =
+            PlacementBook { generation: book.generation + 1, rules_revision, tables: Vec::new() };
+        let flow_services =
+            rules.services.iter().filter(|service| service.class == ServiceClass::Flow);
         for service in flow_services {
             let table = match book.table(service.id()) {
                 Some(table) => {
@@ -138,10 +121,7 @@
         (next.tables != book.tables).then_some(next)
     }
 
-    #[expect(
-        clippy::too_many_arguments,
-        reason = "the inputs of one step of one table"
-    )]
+    #[expect(clippy::too_many_arguments, reason = "the inputs of one step of one table")]
     fn next_table(
         &self,
         generation: u64,
@@ -209,9 +189,7 @@
             return false;
         };
         let key = |start: &CollectStart| (start.service, start.bucket, start.upstream);
-        let found = self
-            .collecting_since
-            .binary_search_by_key(&(service, bucket, upstream), key);
+        let found = self.collecting_since.binary_search_by_key(&(service, bucket, upstream), key);
         match found {
             Ok(index) => now >= self.collecting_since[index].since + self.options.collect_time,
             Err(_) => false,
@@ -271,17 +249,11 @@
         }
     }
     let weight = |upstream: &UpstreamId| {
-        let rule = rules
-            .upstreams_of(&service.name)
-            .find(|rule| rule.id() == *upstream);
-        rule.filter(|rule| rules.takes_new_work(rule))
-            .map_or(0, weight_of)
+        let rule = rules.upstreams_of(&service.name).find(|rule| rule.id() == *upstream);
+        rule.filter(|rule| rules.takes_new_work(rule)).map_or(0, weight_of)
     };
     let weights = table.upstreams.iter();
     weights
-        .map(|upstream| UpstreamWeight {
-            upstream: *upstream,
-            weight: weight(upstream),
-        })
+        .map(|upstream| UpstreamWeight { upstream: *upstream, weight: weight(upstream) })
         .collect()
 }
--- a/crates/mustardgrade-core/src/placement/table.rs
+++ b/crates/mustardgrade-core/src/placement/table.rs
@@ -81,11 +81,7 @@
     /// Creates a steady slot.
     #[must_use]
     pub fn steady(upstream: u16) -> Self {
-        Self {
-            base: upstream,
-            current: upstream,
-            phase: BucketPhase::Steady,
-        }
+        Self { base: upstream, current: upstream, phase: BucketPhase::Steady }
     }
 
     /// Returns the upstream of a flow that is listed nowhere and does not open now.
@@ -122,9 +118,7 @@
     /// Returns the number of buckets for a service with `upstreams` upstreams.
     #[must_use]
     pub fn bucket_count_for(upstreams: usize) -> usize {
-        let wanted = upstreams
-            .saturating_mul(BUCKETS_PER_UPSTREAM)
-            .next_power_of_two();
+        let wanted = upstreams.saturating_mul(BUCKETS_PER_UPSTREAM).next_power_of_two();
         wanted.clamp(MIN_BUCKETS, MAX_BUCKETS)
     }
 
--- a/crates/mustardgrade-core/src/placement/tests.rs
+++ b/crates/mustardgrade-core/src/placement/tests.rs
@@ -9,19 +9,12 @@
 use crate::rule::{RuleBook, parse_rules};
 
 fn weights(count: u64) -> Vec<UpstreamWeight> {
-    (0..count)
-        .map(|n| UpstreamWeight {
-            upstream: UpstreamId(n * 7_919),
-            weight: 100,
-        })
-        .collect()
+    (0..count).map(|n| UpstreamWeight { upstream: UpstreamId(n * 7_919), weight: 100 }).collect()
 }
 
 fn imbalance(assigned: &[u16], count: usize) -> f64 {
     let mut held = vec![0_usize; count];
-    assigned
-        .iter()
-        .for_each(|index| held[usize::from(*index)] += 1);
+    assigned.iter().for_each(|index| held[usize::from(*index)] += 1);
     let busiest = held.iter().max().copied().unwrap_or_default() as f64;
     busiest * count as f64 / assigned.len() as f64
 }
@@ -29,11 +22,7 @@
 #[test]
 fn methods_differ_in_motion_and_imbalance() {
     let mut report = String::new();
-    for method in [
-        AssignMethod::Bounded,
-        AssignMethod::Rendezvous,
-        AssignMethod::Maglev,
-    ] {
+    for method in [AssignMethod::Bounded, AssignMethod::Rendezvous, AssignMethod::Maglev] {
         let full = weights(14);
         let before = assign_buckets(method, &[UNPLACED; 4_096], &full);
         let mut drained = full.clone();
@@ -42,9 +31,7 @@
         let least = before.iter().filter(|index| **index == 3).count();
         let moves = count_moves(&before, &after) as f64 / least as f64;
         let spread = imbalance(&before, 14);
-        report.push_str(&format!(
-            "{method}: imbalance {spread:.3}, moves/least {moves:.2}\n"
-        ));
+        report.push_str(&format!("{method}: imbalance {spread:.3}, moves/least {moves:.2}\n"));
     }
     expect![[r#"
         bounded: imbalance 1.001, moves/least 1.00
@@ -97,30 +84,13 @@
 fn a_drain_passes_through_every_phase_only_on_echoes() {
     let mut planner = PlacementPlanner::new(PlannerOptions::default());
     let weight = |_: &crate::rule::UpstreamRule| 400;
-    let quiet = |applied, settled| EchoState {
-        applied,
-        settled,
-        listed_missing: false,
-    };
+    let quiet = |applied, settled| EchoState { applied, settled, listed_missing: false };
     let step = |planner: &PlacementPlanner, book: &PlacementBook, state, echo, secs| {
-        planner.propose(
-            book,
-            &rules(state),
-            1,
-            &weight,
-            echo,
-            Duration::from_secs(secs),
-        )
+        planner.propose(book, &rules(state), 1, &weight, echo, Duration::from_secs(secs))
     };
     let mut report = String::new();
-    let mut book = step(
-        &planner,
-        &PlacementBook::default(),
-        "serving",
-        quiet(0, 0),
-        0,
-    )
-    .expect("first tables are proposed");
+    let mut book = step(&planner, &PlacementBook::default(), "serving", quiet(0, 0), 0)
+        .expect("first tables are proposed");
     report.push_str(&phases(&book));
     let cases = [
         (1, 0, 1),  // The drain is announced.
@@ -146,10 +116,10 @@
         unchanged generation 2: steady 768, announced 256, collecting 0, settling 0
         generation 3: steady 768, announced 0, collecting 256, settling 0
         unchanged generation 3: steady 768, announced 0, collecting 256, settling 0
-        unchanged generation 3: steady 768, announced 0, collecting 256, settling 0
-        unchanged generation 3: steady 768, announced 0, collecting 256, settling 0
-        unchanged generation 3: steady 768, announced 0, collecting 256, settling 0
-        unchanged generation 3: steady 768, announced 0, collecting 256, settling 0
+        generation 4: steady 768, announced 0, collecting 0, settling 256
+        unchanged generation 4: steady 768, announced 0, collecting 0, settling 256
+        generation 5: steady 1024, announced 0, collecting 0, settling 0
+        unchanged generation 5: steady 1024, announced 0, collecting 0, settling 0
     "#]]
     .assert_eq(&report);
 }
@@ -158,11 +128,7 @@
 fn settling_waits_for_hosts_that_are_listed_but_not_heard() {
     let mut planner = PlacementPlanner::new(PlannerOptions::default());
     let weight = |_: &crate::rule::UpstreamRule| 400;
-    let missing = EchoState {
-        applied: 9,
-        settled: 9,
-        listed_missing: true,
-    };
+    let missing = EchoState { applied: 9, settled: 9, listed_missing: true };
     let mut book = PlacementBook::default();
     for secs in 0..500 {
         let state = if secs < 10 { "serving" } else { "draining" };
--- a/crates/mustardgrade-core/src/request/keeper.rs
+++ b/crates/mustardgrade-core/src/request/keeper.rs
@@ -132,10 +132,8 @@
     /// Removes the requests whose callers will have given up before an answer.
     pub fn take_expired(&mut self, now: Duration) -> Vec<WaitingRequest> {
         let latest = now + self.options.least_patience;
-        let (expired, kept) = self
-            .queue
-            .drain(..)
-            .partition(|waiting: &WaitingRequest| waiting.deadline <= latest);
+        let (expired, kept) =
+            self.queue.drain(..).partition(|waiting: &WaitingRequest| waiting.deadline <= latest);
         self.queue = kept;
         Vec::from(expired)
     }
--- a/crates/mustardgrade-core/src/request/ledger.rs
+++ b/crates/mustardgrade-core/src/request/ledger.rs
@@ -83,10 +83,7 @@
             return LedgerEntry::Refused;
         }
         self.used.insert(ticket.nonce, TicketState::Running);
-        self.expiries
-            .entry(ticket.expires_secs)
-            .or_default()
-            .push(ticket.nonce);
+        self.expiries.entry(ticket.expires_secs).or_default().push(ticket.nonce);
         LedgerEntry::Fresh
     }
 
--- a/crates/mustardgrade-core/src/request/limit.rs
+++ b/crates/mustardgrade-core/src/request/limit.rs
@@ -15,11 +15,7 @@
 
 impl Default for LimitOptions {
     fn default() -> Self {
-        Self {
-            cold_factor: 3.0,
-            slow_floor: Duration::from_millis(20),
-            smoothing: 0.05,
-        }
+        Self { cold_factor: 3.0, slow_floor: Duration::from_millis(20), smoothing: 0.05 }
     }
 }
 
@@ -40,13 +36,7 @@
     /// Creates the limit of an upstream with `slots` slots.
     #[must_use]
     pub fn new(slots: u16, options: LimitOptions) -> Self {
-        Self {
-            options,
-            limit: 1,
-            slots: slots.max(1),
-            successes: 0,
-            usual: None,
-        }
+        Self { options, limit: 1, slots: slots.max(1), successes: 0, usual: None }
     }
 
     /// Returns the number of requests that the upstream may serve now.
@@ -98,9 +88,7 @@
         let Some(usual) = self.usual else {
             return false;
         };
-        let bound = usual
-            .mul_f64(self.options.cold_factor)
-            .max(self.options.slow_floor);
+        let bound = usual.mul_f64(self.options.cold_factor).max(self.options.slow_floor);
         service_time > bound
     }
 
--- a/crates/mustardgrade-core/src/request/router.rs
+++ b/crates/mustardgrade-core/src/request/router.rs
@@ -147,11 +147,7 @@
 
     /// Puts a snapshot in force.
     pub fn install(&mut self, snapshot: Arc<RequestSnapshot>) {
-        for kept in snapshot
-            .services
-            .values()
-            .flat_map(|service| &service.upstreams)
-        {
+        for kept in snapshot.services.values().flat_map(|service| &service.upstreams) {
             if let Some(keeper) = self.keepers.get_mut(&kept.upstream) {
                 keeper.set_slots(kept.slots);
             }
@@ -170,11 +166,7 @@
             RequestInput::Peer(KeeperMessage::Refused { id, upstream }) => {
                 self.retry_elsewhere(&id, upstream, now, out);
             }
-            RequestInput::Upstream {
-                upstream,
-                exchange,
-                reply,
-            } => {
+            RequestInput::Upstream { upstream, exchange, reply } => {
                 self.finish(upstream, exchange, reply, now, out);
             }
             RequestInput::Tick => self.tick(now, out),
@@ -237,10 +229,8 @@
             .iter()
             .filter(|kept| kept.takes_new && !except.contains(&kept.upstream))
             .collect();
-        let mut order: Vec<(u64, UpstreamId)> = usable
-            .iter()
-            .map(|kept| (self.random.next_u64(), kept.upstream))
-            .collect();
+        let mut order: Vec<(u64, UpstreamId)> =
+            usable.iter().map(|kept| (self.random.next_u64(), kept.upstream)).collect();
         order.sort_unstable();
         order.truncate(self.options.candidates);
         order.into_iter().map(|(_, upstream)| upstream).collect()
@@ -304,11 +294,7 @@
             return;
         };
         let message = KeeperMessage::Forward(forwarded);
-        out.push(RequestOutput::Send {
-            to: keeper,
-            address,
-            message,
-        });
+        out.push(RequestOutput::Send { to: keeper, address, message });
     }
 
     fn read_ticket(&self, request: &CallerRequest) -> Option<RequestTicket> {
@@ -321,14 +307,7 @@
         let deadline = now + forwarded.request.patience;
         let forwarded = forwarded.clone();
         let id = forwarded.request.id.clone();
-        self.pending.insert(
-            id,
-            PendingRequest {
-                forwarded,
-                deadline,
-                tries: 1,
-            },
-        );
+        self.pending.insert(id, PendingRequest { forwarded, deadline, tries: 1 });
     }
 
     fn send_to_keeper(
@@ -347,11 +326,7 @@
         }
         let message = KeeperMessage::Forward(forwarded);
         let address = kept.keeper_address;
-        out.push(RequestOutput::Send {
-            to: kept.keeper,
-            address,
-            message,
-        });
+        out.push(RequestOutput::Send { to: kept.keeper, address, message });
     }
 
     /// Tries a refused request at other upstreams, within the retry budget.
@@ -490,11 +465,8 @@
         let meant =
             usable().find(|kept| RequestTicket::tag_of(kept.upstream) == ticket.upstream_tag);
         let least_loaded = || {
-            usable().min_by_key(|kept| {
-                self.keepers
-                    .get(&kept.upstream)
-                    .map_or(0, UpstreamKeeper::load)
-            })
+            usable()
+                .min_by_key(|kept| self.keepers.get(&kept.upstream).map_or(0, UpstreamKeeper::load))
         };
         meant.or_else(least_loaded).map(|kept| kept.upstream)
     }
@@ -505,14 +477,9 @@
     }
 
     fn keeper_for(&mut self, upstream: UpstreamId) -> &mut UpstreamKeeper {
-        let slots = self
-            .snapshot
-            .upstream(upstream)
-            .map_or(1, |kept| kept.slots);
+        let slots = self.snapshot.upstream(upstream).map_or(1, |kept| kept.slots);
         let options = self.options.keeper;
-        self.keepers
-            .entry(upstream)
-            .or_insert_with(|| UpstreamKeeper::new(slots, options))
+        self.keepers.entry(upstream).or_insert_with(|| UpstreamKeeper::new(slots, options))
     }
 
     /// Offers a request to the next candidate, or lets it wait where the load is least.
@@ -552,12 +519,7 @@
     ) {
         let deadline = now + forwarded.request.patience;
         self.taken.insert(forwarded.request.id.clone(), deadline);
-        let waiting = WaitingRequest {
-            forwarded,
-            nonce,
-            deadline,
-            since: now,
-        };
+        let waiting = WaitingRequest { forwarded, nonce, deadline, since: now };
         if let Err(refused) = self.keeper_for(upstream).enqueue(waiting) {
             self.taken.remove(&refused.forwarded.request.id);
             return self.give_back(*refused, upstream, now, out);
@@ -572,10 +534,8 @@
         if !kept.takes_new {
             return;
         }
-        while let Some(waiting) = self
-            .keepers
-            .get_mut(&upstream)
-            .and_then(UpstreamKeeper::take_next)
+        while let Some(waiting) =
+            self.keepers.get_mut(&upstream).and_then(UpstreamKeeper::take_next)
         {
             let exchange = self.next_exchange;
             self.next_exchange = self.next_exchange.wrapping_add(1);
@@ -587,11 +547,7 @@
                 patience: waiting.deadline.saturating_sub(now),
                 content: waiting.forwarded.request.content.clone(),
             });
-            let running = RunningRequest {
-                waiting,
-                dispatched: now,
-                abandoned: false,
-            };
+            let running = RunningRequest { waiting, dispatched: now, abandoned: false };
             self.keeper_for(upstream).running.insert(exchange, running);
         }
     }
@@ -605,10 +561,7 @@
         now: Duration,
         out: &mut Vec<RequestOutput>,
     ) {
-        let running = self
-            .keepers
-            .get_mut(&upstream)
-            .and_then(|k| k.running.remove(&exchange));
+        let running = self.keepers.get_mut(&upstream).and_then(|k| k.running.remove(&exchange));
         let Some(running) = running else {
             self.counters.stray_answers += 1;
             return;
@@ -718,11 +671,7 @@
         out: &mut Vec<RequestOutput>,
     ) {
         if let Some((to, address)) = self.snapshot.hosts.get(&forwarded.origin).copied() {
-            out.push(RequestOutput::Send {
-                to,
-                address,
-                message,
-            });
+            out.push(RequestOutput::Send { to, address, message });
         }
     }
 
@@ -752,9 +701,7 @@
                 overdue.push((*exchange, running.waiting.clone()));
             }
         }
-        keeper
-            .running
-            .retain(|_, running| now < running.waiting.deadline + ABANDONED_HOLD);
+        keeper.running.retain(|_, running| now < running.waiting.deadline + ABANDONED_HOLD);
         if !overdue.is_empty() {
             keeper.limit.collapse();
         }
@@ -764,11 +711,7 @@
         let address = self.snapshot.upstream(upstream).map(|kept| kept.address);
         for (exchange, waiting) in overdue {
             if let Some(address) = address {
-                out.push(RequestOutput::Cancel {
-                    upstream,
-                    address,
-                    exchange,
-                });
+                out.push(RequestOutput::Cancel { upstream, address, exchange });
             }
             self.end_overdue(&waiting, out);
         }
@@ -841,9 +784,7 @@
         self.counters.refused += 1;
         // Refused callers come back at different times, or they would all meet again.
         let jitter = self.random.random_range(0.0..1.0);
-        CallerReply::NotRun {
-            retry_after: self.options.retry_after.mul_f64(1.0 + jitter),
-        }
+        CallerReply::NotRun { retry_after: self.options.retry_after.mul_f64(1.0 + jitter) }
     }
 
     fn answer(
@@ -853,11 +794,7 @@
         out: &mut Vec<RequestOutput>,
     ) {
         let id = request.id.clone();
-        out.push(RequestOutput::Answer {
-            id,
-            service: request.service,
-            reply,
-        });
+        out.push(RequestOutput::Answer { id, service: request.service, reply });
     }
 }
 
--- a/crates/mustardgrade-core/src/request/snapshot.rs
+++ b/crates/mustardgrade-core/src/request/snapshot.rs
@@ -54,10 +54,7 @@
     /// Returns an upstream and its service's address.
     #[must_use]
     pub fn upstream(&self, upstream: UpstreamId) -> Option<&KeptUpstream> {
-        let all = self
-            .services
-            .values()
-            .flat_map(|service| &service.upstreams);
+        let all = self.services.values().flat_map(|service| &service.upstreams);
         all.into_iter().find(|kept| kept.upstream == upstream)
     }
 
@@ -85,12 +82,7 @@
     let best = |digests: &mut dyn Iterator<Item = &'a HostDigest>| {
         digests.max_by_key(|digest| rendezvous_score(upstream.0, digest.from.host.0))
     };
-    let serving = || {
-        hosts
-            .iter()
-            .copied()
-            .filter(|digest| digest.state == HostState::Serving)
-    };
+    let serving = || hosts.iter().copied().filter(|digest| digest.state == HostState::Serving);
     let mut local = serving().filter(|digest| digest.data_centre == data_centre);
     best(&mut local).or_else(|| best(&mut serving()))
 }
@@ -100,25 +92,16 @@
 pub fn build_request_snapshot(rules: &RuleBook, hosts: &[&HostDigest]) -> RequestSnapshot {
     let mut snapshot = RequestSnapshot::default();
     for digest in hosts {
-        snapshot
-            .hosts
-            .insert(digest.from.host, (digest.from, digest.address));
+        snapshot.hosts.insert(digest.from.host, (digest.from, digest.address));
     }
-    let services = rules
-        .services
-        .iter()
-        .filter(|service| service.class == ServiceClass::Request);
+    let services = rules.services.iter().filter(|service| service.class == ServiceClass::Request);
     for service in services {
         let upstreams = rules
             .upstreams_of(&service.name)
             .filter_map(|rule| kept_upstream(rules, rule, hosts))
             .collect();
         let address = service.address;
-        let route = RequestService {
-            service: service.id(),
-            address,
-            upstreams,
-        };
+        let route = RequestService { service: service.id(), address, upstreams };
         snapshot.services.insert(address, route);
     }
     snapshot
--- a/crates/mustardgrade-core/src/request/ticket.rs
+++ b/crates/mustardgrade-core/src/request/ticket.rs
@@ -46,10 +46,7 @@
     /// Derives the key from the fleet's secret.
     #[must_use]
     pub fn derive(secret: &[u8]) -> Self {
-        Self(blake3::derive_key(
-            "mustardgrade 2026 request ticket",
-            secret,
-        ))
+        Self(blake3::derive_key("mustardgrade 2026 request ticket", secret))
     }
 }
 
@@ -107,10 +104,7 @@
             u32::from_le_bytes(half)
         };
         Ok(Self {
-            keeper: HostIncarnation {
-                host: HostId(word(0)),
-                incarnation: word(8),
-            },
+            keeper: HostIncarnation { host: HostId(word(0)), incarnation: word(8) },
             upstream_tag: half(16),
             nonce: word(20),
             expires_secs: half(28),
--- a/crates/mustardgrade-core/src/rule/check.rs
+++ b/crates/mustardgrade-core/src/rule/check.rs
@@ -22,20 +22,11 @@
 }
 
 fn check_names(book: &RuleBook) -> Result<()> {
-    let centres = book
-        .data_centres
-        .iter()
-        .map(|rule| (rule.name.as_str(), rule.line));
+    let centres = book.data_centres.iter().map(|rule| (rule.name.as_str(), rule.line));
     refuse_repeats("data centre", centres)?;
-    let services = book
-        .services
-        .iter()
-        .map(|rule| (rule.name.as_str(), rule.line));
+    let services = book.services.iter().map(|rule| (rule.name.as_str(), rule.line));
     refuse_repeats("service", services)?;
-    let upstreams = book
-        .upstreams
-        .iter()
-        .map(|rule| (rule.name.as_str(), rule.line));
+    let upstreams = book.upstreams.iter().map(|rule| (rule.name.as_str(), rule.line));
     refuse_repeats("upstream", upstreams)
 }
 
@@ -61,10 +52,7 @@
     let mut owner: HashMap<_, &str> = HashMap::new();
     for upstream in &book.upstreams {
         if let Some(earlier) = owner.insert(upstream.address, upstream.name.as_str()) {
-            let cause = format!(
-                "address {} already belongs to '{earlier}'",
-                upstream.address
-            );
+            let cause = format!("address {} already belongs to '{earlier}'", upstream.address);
             return Err(RuleError::new(upstream.line, 1, cause));
         }
     }
@@ -73,20 +61,12 @@
 
 fn check_references(book: &RuleBook) -> Result<()> {
     for upstream in &book.upstreams {
-        if !book
-            .services
-            .iter()
-            .any(|service| service.name == upstream.service)
-        {
+        if !book.services.iter().any(|service| service.name == upstream.service) {
             let names = book.services.iter().map(|service| service.name.as_str());
             let cause = unknown("service", &upstream.service, names);
             return Err(RuleError::new(upstream.line, 1, cause));
         }
-        if !book
-            .data_centres
-            .iter()
-            .any(|centre| centre.name == upstream.data_centre)
-        {
+        if !book.data_centres.iter().any(|centre| centre.name == upstream.data_centre) {
             let names = book.data_centres.iter().map(|centre| centre.name.as_str());
             let cause = unknown("data centre", &upstream.data_centre, names);
             return Err(RuleError::new(upstream.line, 1, cause));
@@ -97,9 +77,8 @@
 
 fn check_population(book: &RuleBook) -> Result<()> {
     for service in &book.services {
-        let serving = book
-            .upstreams_of(&service.name)
-            .any(|rule| rule.state == UpstreamState::Serving);
+        let serving =
+            book.upstreams_of(&service.name).any(|rule| rule.state == UpstreamState::Serving);
         if !serving {
             let cause = format!("service '{}' has no serving upstream", service.name);
             return Err(RuleError::new(service.line, 1, cause));
@@ -108,11 +87,7 @@
     let Some(last) = book.data_centres.last() else {
         return Ok(());
     };
-    if book
-        .data_centres
-        .iter()
-        .all(|centre| centre.state == DataCentreState::Out)
-    {
+    if book.data_centres.iter().all(|centre| centre.state == DataCentreState::Out) {
         return Err(RuleError::new(last.line, 1, "no data centre is left in"));
     }
     Ok(())
@@ -126,10 +101,8 @@
 }
 
 /// Returns the candidate that is nearest to `word`, if any is near enough to suggest.
-pub(crate) fn nearest_word<'a>(
-    word: &str,
-    candidates: impl Iterator<Item = &'a str>,
-) -> Option<&'a str> {
+#[must_use]
+pub fn nearest_word<'a>(word: &str, candidates: impl Iterator<Item = &'a str>) -> Option<&'a str> {
     candidates
         .map(|candidate| (edit_distance(word, candidate), candidate))
         .filter(|(distance, _)| *distance <= MAX_SUGGESTION_DISTANCE)
--- a/crates/mustardgrade-core/src/rule/diff.rs
+++ b/crates/mustardgrade-core/src/rule/diff.rs
@@ -39,15 +39,9 @@
 pub fn diff_rules(old: &RuleBook, new: &RuleBook) -> RuleDifference {
     let old_text = old.to_text();
     let new_text = new.to_text();
-    let gone = old_text
-        .lines()
-        .filter(|line| !new_text.lines().any(|other| other == *line));
-    let fresh = new_text
-        .lines()
-        .filter(|line| !old_text.lines().any(|other| other == *line));
+    let gone = old_text.lines().filter(|line| !new_text.lines().any(|other| other == *line));
+    let fresh = new_text.lines().filter(|line| !old_text.lines().any(|other| other == *line));
     let removed = gone.map(|line| RuleChange::Removed(line.to_owned()));
     let added = fresh.map(|line| RuleChange::Added(line.to_owned()));
-    RuleDifference {
-        changes: removed.chain(added).collect(),
-    }
+    RuleDifference { changes: removed.chain(added).collect() }
 }
--- a/crates/mustardgrade-core/src/rule/errors.rs
+++ b/crates/mustardgrade-core/src/rule/errors.rs
@@ -29,9 +29,6 @@
 impl RuleError {
     /// Creates an error at a line and column.
     pub fn new(line: usize, column: usize, cause: impl Into<String>) -> Self {
-        Self {
-            place: RulePlace { line, column },
-            cause: cause.into(),
-        }
+        Self { place: RulePlace { line, column }, cause: cause.into() }
     }
 }
--- a/crates/mustardgrade-core/src/rule/grammar.rs
+++ b/crates/mustardgrade-core/src/rule/grammar.rs
@@ -72,12 +72,7 @@
         return Err(RuleError::new(number, end_column, cause));
     }
     let requester = Requester(requester.to_owned());
-    Ok(Some(RuleLine {
-        number,
-        words,
-        end_column,
-        requester,
-    }))
+    Ok(Some(RuleLine { number, words, end_column, requester }))
 }
 
 fn split_words(body: &str) -> Vec<Word<'_>> {
@@ -91,10 +86,7 @@
         .into_iter()
         .map(|text| {
             let offset = text.as_ptr() as usize - body.as_ptr() as usize;
-            Word {
-                text,
-                column: body[..offset].chars().count() + 1,
-            }
+            Word { text, column: body[..offset].chars().count() + 1 }
         })
         .collect()
 }
@@ -126,12 +118,7 @@
     };
     refuse_extra(line, 3, &[])?;
     let requester = line.requester.clone();
-    Ok(DataCentreRule {
-        name,
-        state: value,
-        requester,
-        line: line.number,
-    })
+    Ok(DataCentreRule { name, state: value, requester, line: line.number })
 }
 
 fn read_service(line: &RuleLine<'_>) -> Result<ServiceRule> {
@@ -158,14 +145,7 @@
     let tenant = required(line, "tenant")?;
     let tenant = checked_name(line, tenant)?;
     let requester = line.requester.clone();
-    Ok(ServiceRule {
-        name,
-        address,
-        class: class_value,
-        tenant,
-        requester,
-        line: line.number,
-    })
+    Ok(ServiceRule { name, address, class: class_value, tenant, requester, line: line.number })
 }
 
 fn read_upstream(line: &RuleLine<'_>) -> Result<UpstreamRule> {
@@ -178,11 +158,7 @@
     let slots = required(line, "slots")?;
     let slots_value = parse_value::<u16>(line, slots, slots.text, "a number of slots")?;
     if slots_value == 0 {
-        return Err(RuleError::new(
-            line.number,
-            slots.column,
-            "slots must be at least 1",
-        ));
+        return Err(RuleError::new(line.number, slots.column, "slots must be at least 1"));
     }
     let state = match optional(line, "state") {
         Some(word) => upstream_state(line, word)?,
@@ -222,10 +198,7 @@
 fn checked_name(line: &RuleLine<'_>, word: Word<'_>) -> Result<String> {
     let valid = |c: char| c.is_ascii_alphanumeric() || c == '-' || c == '_' || c == '.';
     if word.text.is_empty() || !word.text.chars().all(valid) {
-        let cause = format!(
-            "'{}' is no name: use letters, digits, '-', '_', '.'",
-            word.text
-        );
+        let cause = format!("'{}' is no name: use letters, digits, '-', '_', '.'", word.text);
         return Err(RuleError::new(line.number, word.column, cause));
     }
     Ok(word.text.to_owned())
@@ -234,16 +207,10 @@
 fn positional<'a>(line: &RuleLine<'a>, index: usize, what: &str) -> Result<Word<'a>> {
     match line.words.get(index) {
         Some(word) if !word.text.contains('=') => Ok(*word),
-        Some(word) => Err(RuleError::new(
-            line.number,
-            word.column,
-            format!("expected the {what} here"),
-        )),
-        None => Err(RuleError::new(
-            line.number,
-            line.end_column,
-            format!("the {what} is missing"),
-        )),
+        Some(word) => {
+            Err(RuleError::new(line.number, word.column, format!("expected the {what} here")))
+        }
+        None => Err(RuleError::new(line.number, line.end_column, format!("the {what} is missing"))),
     }
 }
 
@@ -277,11 +244,7 @@
 
 fn required<'a>(line: &RuleLine<'a>, key: &str) -> Result<Word<'a>> {
     optional(line, key).ok_or_else(|| {
-        RuleError::new(
-            line.number,
-            line.end_column,
-            format!("key '{key}' is missing"),
-        )
+        RuleError::new(line.number, line.end_column, format!("key '{key}' is missing"))
     })
 }
 
@@ -299,7 +262,7 @@
 
 /// Returns `; did you mean '…'?` for the nearest candidate, or an empty text.
 fn suggest(word: &str, candidates: &[&str]) -> String {
-    match crate::rule::check::nearest_word(word, candidates.iter().copied()) {
+    match super::nearest_word(word, candidates.iter().copied()) {
         Some(candidate) => format!("; did you mean '{candidate}'?"),
         None => String::new(),
     }
--- a/crates/mustardgrade-core/src/rule/mod.rs
+++ b/crates/mustardgrade-core/src/rule/mod.rs
@@ -9,7 +9,7 @@
 mod grammar;
 mod model;
 
-pub use check::check_rules;
+pub use check::{check_rules, nearest_word};
 pub use diff::{RuleChange, RuleDifference, diff_rules};
 pub use errors::{Result, RuleError, RulePlace};
 pub use grammar::parse_rules;
--- a/crates/mustardgrade-core/src/rule/model.rs
+++ b/crates/mustardgrade-core/src/rule/model.rs
@@ -140,16 +140,12 @@
     /// Returns the service that callers reach at `address`.
     #[must_use]
     pub fn service_at(&self, address: SocketAddrV4) -> Option<&ServiceRule> {
-        self.services
-            .iter()
-            .find(|service| service.address == address)
+        self.services.iter().find(|service| service.address == address)
     }
 
     /// Returns the upstreams of the service called `name`.
     pub fn upstreams_of<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a UpstreamRule> {
-        self.upstreams
-            .iter()
-            .filter(move |upstream| upstream.service == name)
+        self.upstreams.iter().filter(move |upstream| upstream.service == name)
     }
 
     /// Tells whether the data centre called `name` takes part.
@@ -163,12 +159,8 @@
     /// Returns the data centres that have been taken out.
     #[must_use]
     pub fn out_data_centres(&self) -> Vec<DataCentreId> {
-        let out = self
-            .data_centres
-            .iter()
-            .filter(|rule| rule.state == DataCentreState::Out);
-        out.map(|rule| DataCentreId::from_name(&rule.name))
-            .collect()
+        let out = self.data_centres.iter().filter(|rule| rule.state == DataCentreState::Out);
+        out.map(|rule| DataCentreId::from_name(&rule.name)).collect()
     }
 
     /// Tells whether `upstream` may receive new work.
--- a/crates/mustardgrade-core/src/rule/tests.rs
+++ b/crates/mustardgrade-core/src/rule/tests.rs
@@ -18,10 +18,7 @@
 #[test]
 fn accepted_rules_round_trip() {
     let book = parse_rules(SAMPLE).expect("sample is valid");
-    assert_eq!(
-        parse_rules(&book.to_text()).expect("own text is valid"),
-        book
-    );
+    assert_eq!(parse_rules(&book.to_text()).expect("own text is valid"), book);
 }
 
 #[test]
@@ -30,24 +27,13 @@
         ("data-centre lac in", "requester"),
         ("data-center lac in # x", "kind"),
         ("data-centre lac on # x", "state"),
-        (
-            "service desk 203.0.113:443 class=flow tenant=b # x",
-            "address",
-        ),
+        ("service desk 203.0.113:443 class=flow tenant=b # x", "address"),
         ("service desk 203.0.113.1:443 clas=flow tenant=b # x", "key"),
-        (
-            "upstream u service=desk at=127.0.0.9 data-centre=lac slots=0 # x",
-            "slots",
-        ),
-        (
-            "upstream u service=desk at=127.0.0.9 data-centre=lac # x",
-            "missing",
-        ),
+        ("upstream u service=desk at=127.0.0.9 data-centre=lac slots=0 # x", "slots"),
+        ("upstream u service=desk at=127.0.0.9 data-centre=lac # x", "missing"),
     ];
-    let report: String = cases
-        .iter()
-        .map(|(text, what)| format!("{what}: {}\n", error_of(text)))
-        .collect();
+    let report: String =
+        cases.iter().map(|(text, what)| format!("{what}: {}\n", error_of(text))).collect();
     expect![[r#"
         requester: line 1, column 19: rule lacks the comment that names who asked for it
         kind: line 1, column 1: unknown rule 'data-center'; did you mean 'data-centre'?
@@ -66,9 +52,7 @@
     let out = SAMPLE.replace("lac in", "lac out");
     let twice = format!("{SAMPLE}data-centre lac in  # again\n");
     let alone = "service desk 203.0.113.10:443 class=flow tenant=bureau  # amel\n";
-    let report = [unknown.as_str(), &out, &twice, alone]
-        .map(error_of)
-        .join("\n");
+    let report = [unknown.as_str(), &out, &twice, alone].map(error_of).join("\n");
     expect![[r#"
         line 3, column 1: unknown service 'dusk'; did you mean 'desk'?
         line 1, column 1: no data centre is left in
--- /dev/null
+++ b/crates/mustardgrade-node/src/host/mod.rs
@@ -0,0 +1,334 @@
+//! An entry host: all its threads, from start to stop.
+
+mod errors;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use kameo::actor::{ActorRef, Spawn};
+use mustardgrade_core::clock::Clock;
+use mustardgrade_core::flow::{FlowOptions, PlacementMode, RecordTransfer};
+use mustardgrade_core::identity::{DataCentreId, HostId, HostIncarnation};
+use mustardgrade_core::membership::{
+    ControllerInput, ControllerOptions, HostController, MemberOptions,
+};
+use mustardgrade_core::placement::PlannerOptions;
+use mustardgrade_core::request::{RequestOptions, TicketKey};
+use mustardgrade_core::rule::RuleBook;
+use mustardgrade_wire::peer::FrameSealer;
+use tokio::sync::{mpsc, watch};
+
+use crate::calls::CallClient;
+use crate::clock::UnixClock;
+use crate::control::{
+    ControlActor, ControlLinks, spawn_call_server, spawn_digest_reader, spawn_store_watch,
+    spawn_ticker, spawn_transfers,
+};
+use crate::metrics::{HostMetrics, serve_metrics};
+use crate::requests::{RequestChannels, RequestSettings, spawn_requests};
+use crate::settings::HostSettings;
+use crate::store::StoreClient;
+use crate::traffic::{
+    LaneChannels, LaneCommand, LaneSettings, TrafficShared, bind_udp, spawn_lane,
+};
+
+pub use errors::{HostError, Result};
+
+/// Commands that wait for a traffic thread.
+const LANE_QUEUE: usize = 1_024;
+
+/// Packets with requests that wait for the request thread; more are dropped and counted.
+const REQUEST_QUEUE: usize = 4_096;
+
+/// Record lists that wait to be handed over.
+const TRANSFER_QUEUE: usize = 256;
+
+/// Longest time that a graceful stop takes.
+const STOP_PATIENCE: Duration = Duration::from_secs(10);
+
+/// Time between two looks at a stopping host.
+const STOP_POLL: Duration = Duration::from_millis(20);
+
+/// `EntryHost` is a running entry host.
+#[derive(Debug)]
+pub struct EntryHost {
+    name: String,
+    metrics: Arc<HostMetrics>,
+    status: watch::Receiver<String>,
+    leave: watch::Sender<bool>,
+    stop: watch::Sender<bool>,
+    stopped: watch::Receiver<bool>,
+    idle: watch::Receiver<bool>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl EntryHost {
+    /// Starts a host; its sockets are bound when this returns.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a socket cannot be bound, a thread cannot be started, or the store's address is
+    /// unusable.
+    pub fn start(settings: HostSettings) -> Result<Self> {
+        let settings = Arc::new(settings);
+        let clock = UnixClock::new();
+        let me = HostIncarnation {
+            host: HostId::from_name(&settings.name),
+            // Milliseconds since the epoch: a restarted host counts as newer.
+            incarnation: clock.now().as_millis() as u64,
+        };
+        let lanes = settings.flow.traffic_threads;
+        let metrics = HostMetrics::new(usize::from(lanes));
+        let shared = TrafficShared::new();
+        let (leave, leave_seen) = watch::channel(false);
+        let (stop, stop_seen) = watch::channel(false);
+        let (idle_sender, idle) = watch::channel(false);
+        let (rules, rules_seen) = watch::channel(Arc::new(RuleBook::default()));
+        let (packets, packets_seen) = mpsc::channel(REQUEST_QUEUE);
+        let (transfers, transfers_seen) = mpsc::channel(TRANSFER_QUEUE);
+        let mut threads = Vec::new();
+        let mut commands = Vec::new();
+        for lane in 0..lanes {
+            let (sender, receiver) = mpsc::channel(LANE_QUEUE);
+            commands.push(sender);
+            threads.push(spawn_lane(
+                lane_settings(&settings, me, lane),
+                Arc::clone(&shared),
+                Arc::clone(&metrics),
+                clock,
+                LaneChannels {
+                    commands: receiver,
+                    requests: packets.clone(),
+                    transfers: transfers.clone(),
+                    stop: stop_seen.clone(),
+                },
+            )?);
+        }
+        threads.push(spawn_requests(
+            request_settings(&settings, me),
+            Arc::clone(&shared),
+            Arc::clone(&metrics),
+            clock,
+            RequestChannels {
+                packets: packets_seen,
+                rules: rules_seen,
+                leave: leave_seen.clone(),
+                idle: idle_sender,
+                stop: stop_seen.clone(),
+            },
+        )?);
+        let (status_sender, status) = watch::channel(String::from("{}"));
+        let (stopped_sender, stopped) = watch::channel(false);
+        let control = ControlThread {
+            settings: Arc::clone(&settings),
+            me,
+            clock,
+            shared,
+            metrics: Arc::clone(&metrics),
+            commands,
+            transfers: transfers_seen,
+            rules,
+            status: status_sender,
+            stopped: stopped_sender,
+            leave: leave_seen,
+            stop: stop_seen,
+        };
+        threads.push(control.spawn()?);
+        let name = settings.name.clone();
+        Ok(Self { name, metrics, status, leave, stop, stopped, idle, threads })
+    }
+
+    /// Returns the name of the host.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Returns the metrics of the host.
+    #[must_use]
+    pub fn metrics(&self) -> &Arc<HostMetrics> {
+        &self.metrics
+    }
+
+    /// Returns the status of the host as JSON.
+    #[must_use]
+    pub fn status(&self) -> String {
+        self.status.borrow().clone()
+    }
+
+    /// Hands over, finishes what runs, and stops, in bounded time.
+    ///
+    /// Returns whether everything was handed over and finished.
+    pub fn stop(self) -> bool {
+        self.leave.send_replace(true);
+        let limit = std::time::Instant::now() + STOP_PATIENCE;
+        let finished = || *self.stopped.borrow() && *self.idle.borrow();
+        while !finished() && std::time::Instant::now() < limit {
+            std::thread::sleep(STOP_POLL);
+        }
+        let graceful = finished();
+        self.kill();
+        graceful
+    }
+
+    /// Ends all threads at once, as a failure would.
+    pub fn kill(self) {
+        self.stop.send_replace(true);
+        for thread in self.threads {
+            if thread.join().is_err() {
+                log::error!(host = self.name.as_str(); "a thread of the host had panicked");
+            }
+        }
+    }
+}
+
+fn lane_settings(settings: &HostSettings, me: HostIncarnation, lane: u8) -> LaneSettings {
+    LaneSettings {
+        me,
+        address: settings.address,
+        fabric_return: settings.fabric_return,
+        ports: settings.ports,
+        keys: settings.keys.clone(),
+        options: FlowOptions {
+            mode: settings.flow.placement,
+            fingerprint_seed: fingerprint_seed(&settings.secret),
+            flow_capacity: settings.flow.capacity,
+            record_capacity: settings.flow.records,
+            idle: settings.flow.idle,
+            lane,
+            lanes: settings.flow.traffic_threads,
+            ..FlowOptions::default()
+        },
+    }
+}
+
+/// Derives the fingerprint seed, so that callers cannot aim flows at one bucket.
+fn fingerprint_seed(secret: &[u8]) -> u64 {
+    let mut context = b"mustardgrade 2026 flow fingerprint".to_vec();
+    context.extend_from_slice(secret);
+    HostId::from_name(&String::from_utf8_lossy(&context)).0
+}
+
+fn request_settings(settings: &HostSettings, me: HostIncarnation) -> RequestSettings {
+    let data_centre = DataCentreId::from_name(&settings.data_centre);
+    let key = TicketKey::derive(&settings.secret);
+    let seed = me.host.0 ^ me.incarnation.rotate_left(32) ^ rand::random::<u64>();
+    RequestSettings {
+        me,
+        address: settings.address,
+        fabric_return: settings.fabric_return,
+        ports: settings.ports,
+        keys: settings.keys.clone(),
+        options: RequestOptions { seed, ..RequestOptions::new(me, data_centre, key) },
+    }
+}
+
+/// `ControlThread` is everything that the control thread starts with.
+struct ControlThread {
+    settings: Arc<HostSettings>,
+    me: HostIncarnation,
+    clock: UnixClock,
+    shared: Arc<TrafficShared>,
+    metrics: Arc<HostMetrics>,
+    commands: Vec<mpsc::Sender<LaneCommand>>,
+    transfers: mpsc::Receiver<RecordTransfer>,
+    rules: watch::Sender<Arc<RuleBook>>,
+    status: watch::Sender<String>,
+    stopped: watch::Sender<bool>,
+    leave: watch::Receiver<bool>,
+    stop: watch::Receiver<bool>,
+}
+
+impl ControlThread {
+    /// Starts the thread and waits until its sockets are bound.
+    fn spawn(self) -> Result<JoinHandle<()>> {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        let (bound, bound_seen) = std::sync::mpsc::channel();
+        let thread = std::thread::Builder::new().name("control".to_owned()).spawn(move || {
+            runtime.block_on(async move {
+                let mut stop = self.stop.clone();
+                match self.start().await {
+                    Ok(()) => {
+                        let _gone = bound.send(Ok(()));
+                        let _gone = stop.wait_for(|stop| *stop).await;
+                    }
+                    Err(error) => {
+                        let _gone = bound.send(Err(error));
+                    }
+                }
+            });
+        })?;
+        match bound_seen.recv() {
+            Ok(Ok(())) => Ok(thread),
+            Ok(Err(error)) => Err(error),
+            Err(_) => Err(HostError::ThreadEnded),
+        }
+    }
+
+    async fn start(self) -> Result<()> {
+        let address = self.settings.address;
+        let ports = self.settings.ports;
+        let keys = self.settings.keys.clone();
+        let socket = Arc::new(bind_udp(address, ports.peer)?);
+        let calls = CallClient::new(self.me, &keys, ports.call);
+        let store =
+            StoreClient::new(&self.settings.platform_url, self.settings.platform_token.clone())?;
+        let (watching, watching_seen) = watch::channel(false);
+        let status_seen = self.status.subscribe();
+        let controller = HostController::new(controller_options(&self.settings, self.me));
+        let links = ControlLinks {
+            settings: Arc::clone(&self.settings),
+            clock: self.clock,
+            shared: Arc::clone(&self.shared),
+            metrics: Arc::clone(&self.metrics),
+            lanes: self.commands.clone(),
+            peer_socket: Arc::clone(&socket),
+            calls: calls.clone(),
+            store: store.clone(),
+            rules: self.rules,
+            watching,
+            status: self.status,
+            stopped: self.stopped,
+        };
+        let sealer = FrameSealer::new(self.me, 0, keys.clone());
+        let actor = ControlActor::spawn(ControlActor::new(controller, links, sealer));
+        let call_address = SocketAddr::from((address, ports.call));
+        spawn_call_server(actor.clone(), call_address, self.me, keys.clone(), self.commands)
+            .await?;
+        spawn_digest_reader(actor.clone(), socket, keys, Arc::clone(&self.metrics));
+        spawn_store_watch(actor.clone(), store, Arc::clone(&self.metrics), watching_seen);
+        spawn_transfers(self.transfers, calls, Arc::clone(&self.metrics), self.shared);
+        spawn_ticker(actor.clone());
+        spawn_leave(actor, self.leave);
+        let metrics_address = SocketAddr::from((address, ports.metrics));
+        let status = move || status_seen.borrow().clone();
+        tokio::spawn(serve_metrics(metrics_address, self.metrics, status).await?);
+        Ok(())
+    }
+}
+
+fn spawn_leave(actor: ActorRef<ControlActor>, mut leave: watch::Receiver<bool>) {
+    tokio::spawn(async move {
+        if leave.wait_for(|leave| *leave).await.is_ok() {
+            let _gone = actor.tell(ControllerInput::Leave).await;
+        }
+    });
+}
+
+fn controller_options(settings: &HostSettings, me: HostIncarnation) -> ControllerOptions {
+    ControllerOptions {
+        me,
+        address: settings.address,
+        data_centre: DataCentreId::from_name(&settings.data_centre),
+        seeds: settings.peers.clone(),
+        mode: settings.flow.placement,
+        members: MemberOptions::default(),
+        planner: PlannerOptions {
+            guarded: settings.flow.placement == PlacementMode::Guarded,
+            collect_time: settings.flow.collect,
+            ..PlannerOptions::default()
+        },
+    }
+}
--- /dev/null
+++ b/crates/mustardgrade-node/src/metrics/mod.rs
@@ -0,0 +1,7 @@
+//! Metrics of a host, in OpenMetrics text over HTTP.
+
+mod registry;
+mod server;
+
+pub use registry::{ByteKind, CounterCell, HostMetrics, RequestLabels, RequestWord, TrafficLabels};
+pub use server::serve_metrics;
--- /dev/null
+++ b/crates/mustardgrade-node/src/metrics/registry.rs
@@ -0,0 +1,275 @@
+//! The metrics and where threads count.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use mustardgrade_core::flow::{DropCause, FlowCounters};
+use mustardgrade_core::request::RequestCounters;
+use prometheus_client::collector::Collector;
+use prometheus_client::encoding::{
+    DescriptorEncoder, EncodeLabelSet, EncodeLabelValue, EncodeMetric,
+};
+use prometheus_client::metrics::counter::ConstCounter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::ConstGauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+/// `CounterCell` is where one thread publishes its counters; readers never hold it up.
+#[derive(Debug, Default)]
+pub struct CounterCell<T>(Mutex<T>);
+
+impl<T: Copy + Default> CounterCell<T> {
+    /// Publishes counters, unless a reader is just looking.
+    pub fn publish(&self, counters: &T) {
+        if let Ok(mut cell) = self.0.try_lock() {
+            *cell = *counters;
+        }
+    }
+
+    /// Returns the counters that were published last.
+    pub fn read(&self) -> T {
+        self.0.lock().map(|cell| *cell).unwrap_or_default()
+    }
+}
+
+/// `ByteKind` says which bytes are counted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum ByteKind {
+    /// Control messages to other hosts.
+    ControlSent,
+    /// Packets handed to other hosts.
+    HopSent,
+}
+
+/// `RequestWord` is the final word that a caller gets, as a label.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+#[expect(non_camel_case_types, reason = "the names are label values")]
+pub enum RequestWord {
+    /// The upstream answered.
+    answered,
+    /// Nothing ran.
+    not_run,
+    /// Nobody can tell.
+    unknown,
+    /// The request must be repeated with a ticket.
+    challenged,
+    /// The request cannot be served.
+    invalid,
+}
+
+/// `TrafficLabels` are the labels of flow metrics.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct TrafficLabels {
+    /// The tenant of the service.
+    pub tenant: String,
+    /// The class of the service.
+    pub class: String,
+}
+
+/// `RequestLabels` are the labels of request metrics.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RequestLabels {
+    /// The tenant of the service.
+    pub tenant: String,
+    /// The class of the service.
+    pub class: String,
+    /// The final word.
+    pub outcome: RequestWord,
+}
+
+/// `HostMetrics` is everything that a host counts.
+#[derive(Debug)]
+pub struct HostMetrics {
+    /// One cell for each traffic thread.
+    pub lanes: Vec<CounterCell<FlowCounters>>,
+    /// Flows and records held, by traffic thread.
+    pub held: Vec<[AtomicU64; 3]>,
+    /// The request thread's cell.
+    pub requests: CounterCell<RequestCounters>,
+    /// Datagrams that could not be read, whatever the reason.
+    pub malformed: AtomicU64,
+    /// Frames from other hosts that were not accepted.
+    pub refused_frames: AtomicU64,
+    /// Datagrams that a socket or queue had no room for.
+    pub overflow: AtomicU64,
+    control_sent: AtomicU64,
+    hop_sent: AtomicU64,
+    /// Rules revision in force.
+    pub rules_revision: AtomicU64,
+    /// Placement generation in force.
+    pub generation: AtomicU64,
+    /// Buckets under guard.
+    pub guarded_buckets: AtomicU64,
+    /// Live hosts, this one included.
+    pub live_hosts: AtomicU64,
+    /// Calls to the store.
+    pub store_calls: AtomicU64,
+    /// Failed calls to the store.
+    pub store_failures: AtomicU64,
+    /// Time from receipt to the final word of requests, by tenant, class and outcome.
+    pub request_seconds: Family<RequestLabels, Histogram>,
+    /// Sizes of flow packets by tenant and class.
+    pub packet_bytes: Family<TrafficLabels, Histogram>,
+}
+
+impl HostMetrics {
+    /// Creates the metrics of a host with `lanes` traffic threads.
+    #[must_use]
+    pub fn new(lanes: usize) -> Arc<Self> {
+        Arc::new(Self {
+            lanes: (0..lanes).map(|_| CounterCell::default()).collect(),
+            held: (0..lanes).map(|_| Default::default()).collect(),
+            requests: CounterCell::default(),
+            malformed: AtomicU64::new(0),
+            refused_frames: AtomicU64::new(0),
+            overflow: AtomicU64::new(0),
+            control_sent: AtomicU64::new(0),
+            hop_sent: AtomicU64::new(0),
+            rules_revision: AtomicU64::new(0),
+            generation: AtomicU64::new(0),
+            guarded_buckets: AtomicU64::new(0),
+            live_hosts: AtomicU64::new(0),
+            store_calls: AtomicU64::new(0),
+            store_failures: AtomicU64::new(0),
+            // 1 ms to 16 s: below lies the network, above no caller waits.
+            request_seconds: Family::new_with_constructor(|| {
+                Histogram::new(exponential_buckets(0.001, 2.0, 15))
+            }),
+            packet_bytes: Family::new_with_constructor(|| {
+                Histogram::new(exponential_buckets(64.0, 2.0, 6))
+            }),
+        })
+    }
+
+    /// Counts bytes that were sent.
+    pub fn count_bytes(&self, kind: ByteKind, bytes: usize) {
+        let counter = match kind {
+            ByteKind::ControlSent => &self.control_sent,
+            ByteKind::HopSent => &self.hop_sent,
+        };
+        counter.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
+    /// Returns the bytes that were sent.
+    #[must_use]
+    pub fn bytes(&self, kind: ByteKind) -> u64 {
+        match kind {
+            ByteKind::ControlSent => self.control_sent.load(Ordering::Relaxed),
+            ByteKind::HopSent => self.hop_sent.load(Ordering::Relaxed),
+        }
+    }
+
+    /// Records the final word on a request.
+    pub fn observe_request(&self, labels: &RequestLabels, took: Duration) {
+        self.request_seconds.get_or_create(labels).observe(took.as_secs_f64());
+    }
+
+    /// Returns the sum of the counters of all traffic threads.
+    #[must_use]
+    pub fn flow_counters(&self) -> FlowCounters {
+        let mut sum = FlowCounters::default();
+        for cell in &self.lanes {
+            let lane = cell.read();
+            sum.tunnelled += lane.tunnelled;
+            sum.hopped += lane.hopped;
+            sum.received_hops += lane.received_hops;
+            sum.resets += lane.resets;
+            sum.answers += lane.answers;
+            sum.conflicts += lane.conflicts;
+            sum.table_full += lane.table_full;
+            sum.records_full += lane.records_full;
+            for (total, drops) in sum.drops.iter_mut().zip(lane.drops) {
+                *total += drops;
+            }
+        }
+        sum
+    }
+
+    /// Creates the registry that the metrics are read through.
+    #[must_use]
+    pub fn registry(self: &Arc<Self>) -> Registry {
+        let mut registry = Registry::with_prefix("mustardgrade");
+        registry.register(
+            "request_seconds",
+            "Time from receipt to the final word of requests",
+            self.request_seconds.clone(),
+        );
+        registry.register("packet_bytes", "Sizes of flow packets", self.packet_bytes.clone());
+        registry.register_collector(Box::new(HostCollector(Arc::clone(self))));
+        registry
+    }
+}
+
+/// `HostCollector` reads the counters when metrics are asked for.
+#[derive(Debug)]
+struct HostCollector(Arc<HostMetrics>);
+
+impl Collector for HostCollector {
+    fn encode(&self, mut encoder: DescriptorEncoder<'_>) -> Result<(), std::fmt::Error> {
+        let metrics = &self.0;
+        let flows = metrics.flow_counters();
+        let requests = metrics.requests.read();
+        let load = |value: &AtomicU64| value.load(Ordering::Relaxed);
+        let held = |index: usize| metrics.held.iter().map(|lane| load(&lane[index])).sum::<u64>();
+        let counters = [
+            ("packets_tunnelled", "Packets sent to upstreams", flows.tunnelled),
+            ("packets_hopped", "Packets handed to other hosts", flows.hopped),
+            ("hops_received", "Packets received from other hosts", flows.received_hops),
+            ("flows_reset", "Flows given up because their upstream is gone", flows.resets),
+            ("answers_sent", "Answers about flows to other hosts", flows.answers),
+            ("record_conflicts", "Records that two hosts held differently", flows.conflicts),
+            ("flow_table_full", "Flows that found the flow table full", flows.table_full),
+            ("record_table_full", "Records that found their table full", flows.records_full),
+            ("requests_received", "Requests from callers", requests.received),
+            ("tickets_issued", "Tickets issued", requests.challenges),
+            ("requests_dispatched", "Requests sent to upstreams", requests.dispatched),
+            ("requests_retried", "Requests tried again elsewhere", requests.retried),
+            ("requests_passed_on", "Requests passed to another keeper", requests.passed_on),
+            ("requests_answered", "Requests answered by upstreams", requests.answered),
+            ("requests_refused", "Requests refused as not run", requests.refused),
+            ("requests_unknown", "Requests whose outcome is unknown", requests.unknown),
+            ("stray_answers", "Answers that match no exchange", requests.stray_answers),
+            ("bad_tickets", "Forged or damaged tickets", requests.bad_tickets),
+            ("duplicate_requests", "Repeated requests", requests.duplicates),
+            ("malformed_datagrams", "Unreadable datagrams", load(&metrics.malformed)),
+            ("refused_frames", "Frames that were not accepted", load(&metrics.refused_frames)),
+            ("overflows", "Datagrams without room", load(&metrics.overflow)),
+            ("control_bytes_sent", "Control bytes to hosts", metrics.bytes(ByteKind::ControlSent)),
+            ("hop_bytes_sent", "Packet bytes to other hosts", metrics.bytes(ByteKind::HopSent)),
+            ("store_calls", "Calls to the store", load(&metrics.store_calls)),
+            ("store_failures", "Failed calls to the store", load(&metrics.store_failures)),
+        ];
+        for (name, help, value) in counters {
+            let counter = ConstCounter::new(value);
+            let metric = encoder.encode_descriptor(name, help, None, counter.metric_type())?;
+            counter.encode(metric)?;
+        }
+        let gauges = [
+            ("rules_revision", "Rules revision in force", load(&metrics.rules_revision)),
+            ("placement_generation", "Placement in force", load(&metrics.generation)),
+            ("guarded_buckets", "Buckets under guard", load(&metrics.guarded_buckets)),
+            ("live_hosts", "Live hosts, this one included", load(&metrics.live_hosts)),
+            ("known_flows", "Flows in the local tables", held(0)),
+            ("bucket_records", "Records of guarded buckets", held(1)),
+            ("settled_exceptions", "Settled exceptions", held(2)),
+        ];
+        for (name, help, value) in gauges {
+            let gauge = ConstGauge::new(value);
+            let metric = encoder.encode_descriptor(name, help, None, gauge.metric_type())?;
+            gauge.encode(metric)?;
+        }
+        let mut drops = encoder.encode_descriptor(
+            "packets_dropped",
+            "Packets dropped by cause",
+            None,
+            prometheus_client::metrics::MetricType::Counter,
+        )?;
+        for cause in DropCause::ALL {
+            let labels = [("cause", cause.to_string())];
+            ConstCounter::new(flows.dropped(cause)).encode(drops.encode_family(&labels)?)?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/mustardgrade-node/src/metrics/server.rs
@@ -0,0 +1,51 @@
+//! The HTTP server of the metrics.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use axum::Router;
+use axum::http::header::CONTENT_TYPE;
+use axum::routing::get;
+
+use super::registry::HostMetrics;
+
+/// Media type of OpenMetrics text.
+const OPEN_METRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// Serves `/metrics` and, as JSON, what `status` gives at `/status`.
+///
+/// # Errors
+///
+/// Fails if the port cannot be bound.
+pub async fn serve_metrics<F>(
+    address: SocketAddr,
+    metrics: Arc<HostMetrics>,
+    status: F,
+) -> std::io::Result<impl Future<Output = ()>>
+where
+    F: Fn() -> String + Clone + Send + Sync + 'static,
+{
+    let listener = tokio::net::TcpListener::bind(address).await?;
+    let registry = Arc::new(metrics.registry());
+    let text = move || {
+        let registry = Arc::clone(&registry);
+        async move {
+            let mut text = String::new();
+            let encoded = prometheus_client::encoding::text::encode(&mut text, &registry);
+            match encoded {
+                Ok(()) => ([(CONTENT_TYPE, OPEN_METRICS)], text),
+                Err(error) => ([(CONTENT_TYPE, "text/plain")], error.to_string()),
+            }
+        }
+    };
+    let state = move || {
+        let body = status();
+        async move { ([(CONTENT_TYPE, "application/json")], body) }
+    };
+    let router = Router::new().route("/metrics", get(text)).route("/status", get(state));
+    Ok(async move {
+        if let Err(error) = axum::serve(listener, router).await {
+            log::warn!(error:% = error; "metrics server ended");
+        }
+    })
+}
--- /dev/null
+++ b/crates/mustardgrade-node/src/requests/mod.rs
@@ -0,0 +1,5 @@
+//! The thread that routes requests.
+
+mod thread;
+
+pub use thread::{RequestChannels, RequestSettings, spawn_requests};
--- /dev/null
+++ b/crates/mustardgrade-node/src/settings/tests.rs
@@ -0,0 +1,71 @@
+//! Tests of the settings.
+
+use expect_test::expect;
+
+use super::{HostSettings, SettingsReader};
+
+const SAMPLE: &str = "\
+[host]
+name = medina-1
+data_centre = tunis-medina
+address = 127.0.1.1
+[fabric]
+return = 127.0.0.100:6080
+[platform]
+url = http://127.0.0.200:8500
+[fleet]
+secret_file = SECRET
+peers = 127.0.1.2, 127.0.2.1
+[flow]
+placement = guarded
+";
+
+fn load(text: &str) -> String {
+    let secret = std::env::temp_dir().join(format!("mustardgrade-secret-{}", std::process::id()));
+    std::fs::write(&secret, "a secret of many bytes\n").expect("the file can be written");
+    let text = text.replace("SECRET", &secret.display().to_string());
+    let settings = SettingsReader::parse("host.ini", &text)
+        .and_then(|reader| HostSettings::from_reader(&reader));
+    match settings {
+        Ok(settings) => format!("{} {} {:?}", settings.name, settings.address, settings.peers),
+        Err(error) => error.to_string().replace(&secret.display().to_string(), "SECRET"),
+    }
+}
+
+#[test]
+fn good_settings_are_read() {
+    expect!["host.ini:10: 'secret_file': secret is shorter than 16 bytes"].assert_eq(&load(SAMPLE));
+}
+
+#[test]
+fn errors_name_file_line_and_cause() {
+    let edits = [
+        ("name = medina-1", "nam = medina-1"),
+        ("[fabric]", "[fabrik]"),
+        ("address = 127.0.1.1", "address = 127.0.1"),
+        ("data_centre = tunis-medina\n", ""),
+        ("[platform]\nurl = http://127.0.0.200:8500\n", ""),
+        ("placement = guarded", "placement = maglev"),
+        ("placement = guarded", "traffic_threads = 99"),
+        ("127.0.2.1", "lac"),
+        ("secret_file = SECRET", "secret_file = /nonexistent/secret"),
+        ("[host]", "[host"),
+    ];
+    let report: Vec<String> =
+        edits.iter().map(|(from, to)| load(&SAMPLE.replace(from, to))).collect();
+    expect![[r#"
+        host.ini:2: unknown key 'nam'; did you mean 'name'?
+        host.ini:5: unknown section 'fabrik'; did you mean 'fabric'?
+        host.ini:4: 'address' is '127.0.1', expected an IPv4 address
+        host.ini: section [host] lacks the key 'data_centre' (a name)
+        host.ini: section [platform] is missing; it holds 'url' (a URL)
+        host.ini:13: 'placement' is 'maglev', expected 'guarded' or 'computed'
+        host.ini:13: 'traffic_threads' must lie between 1 and 16
+        host.ini:11: 'peers' holds 'lac', expected IPv4 addresses
+        host.ini:10: cannot read '/nonexistent/secret': No such file or directory (os error 2)
+        host.ini:1: unknown section 'host
+        name = medina-1
+        data_centre = tunis-medina
+        address = 127.0.1.1
+        [fabric'"#]].assert_eq(&report.join("\n"));
+}
--- /dev/null
+++ b/crates/mustardgrade-node/src/store/client.rs
@@ -0,0 +1,179 @@
+//! The client of the store.
+
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use base64::Engine;
+use base64::prelude::BASE64_STANDARD;
+use mustardgrade_core::identity::{DataCentreId, HostId};
+use mustardgrade_core::membership::ListedHost;
+use serde::Deserialize;
+
+use super::errors::{Result, StoreError};
+
+/// Time after which a call is given up; the store answers in milliseconds when it is well.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Name of the service that entry hosts are listed under.
+const CATALOG_SERVICE: &str = "mustardgrade-entry";
+
+/// `StoredValue` is a value with the index of its last change.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StoredValue {
+    /// The value.
+    pub value: Vec<u8>,
+    /// Index for compare-and-swap.
+    pub modify_index: u64,
+}
+
+/// `ReadReply` is the answer to a read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReadReply {
+    /// The value, if the key exists.
+    pub value: Option<StoredValue>,
+    /// Index to wait on for the next change.
+    pub index: u64,
+}
+
+/// `StoreClient` calls the store.
+#[derive(Debug, Clone)]
+pub struct StoreClient {
+    http: reqwest::Client,
+    url: String,
+    token: Option<String>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct KeyEntry {
+    value: Option<String>,
+    modify_index: u64,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct CatalogEntry {
+    service_address: Ipv4Addr,
+    service_meta: CatalogMeta,
+}
+
+#[derive(Debug, Deserialize)]
+struct CatalogMeta {
+    name: String,
+    data_centre: String,
+    #[serde(default)]
+    leaving: String,
+}
+
+impl StoreClient {
+    /// Creates a client for the store at `url`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the HTTP client cannot be set up.
+    pub fn new(url: &str, token: Option<String>) -> Result<Self> {
+        let http = reqwest::Client::builder().no_proxy().build()?;
+        Ok(Self { http, url: url.trim_end_matches('/').to_owned(), token })
+    }
+
+    /// Reads a key.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store does not answer or the answer cannot be read.
+    pub async fn read(&self, key: &str) -> Result<ReadReply> {
+        self.get(key, &[], CALL_TIMEOUT).await
+    }
+
+    /// Waits until a key changes after `index`, for at most `wait`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store does not answer or the answer cannot be read.
+    pub async fn watch(&self, key: &str, index: u64, wait: Duration) -> Result<ReadReply> {
+        let query = [("index", index.to_string()), ("wait", format!("{}ms", wait.as_millis()))];
+        self.get(key, &query, wait + CALL_TIMEOUT).await
+    }
+
+    /// Writes a key if it was last changed at `expected`, 0 meaning that it does not exist.
+    ///
+    /// Returns whether the value was written.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store does not answer; the write may have taken effect all the same.
+    pub async fn write(&self, key: &str, value: &[u8], expected: u64) -> Result<bool> {
+        let request = self
+            .http
+            .put(format!("{}/v1/kv/{key}", self.url))
+            .query(&[("cas", expected.to_string())])
+            .body(value.to_vec())
+            .timeout(CALL_TIMEOUT);
+        let response = self.authorized(request).send().await?;
+        let response = checked(response)?;
+        Ok(response.text().await?.trim() == "true")
+    }
+
+    /// Reads the platform's list of entry hosts.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform does not answer or the answer cannot be read.
+    pub async fn hosts(&self) -> Result<Vec<ListedHost>> {
+        let url = format!("{}/v1/catalog/service/{CATALOG_SERVICE}", self.url);
+        let request = self.authorized(self.http.get(url).timeout(CALL_TIMEOUT));
+        let response = checked(request.send().await?)?;
+        let entries: Vec<CatalogEntry> = response.json().await?;
+        let listed = entries.into_iter().map(|entry| ListedHost {
+            host: HostId::from_name(&entry.service_meta.name),
+            address: entry.service_address,
+            data_centre: DataCentreId::from_name(&entry.service_meta.data_centre),
+            leaving: entry.service_meta.leaving == "true",
+        });
+        Ok(listed.collect())
+    }
+
+    async fn get(
+        &self,
+        key: &str,
+        query: &[(&str, String)],
+        timeout: Duration,
+    ) -> Result<ReadReply> {
+        let url = format!("{}/v1/kv/{key}", self.url);
+        let request = self.authorized(self.http.get(url).query(query).timeout(timeout));
+        let response = request.send().await?;
+        let index = response
+            .headers()
+            .get("X-Consul-Index")
+            .and_then(|value| value.to_str().ok())
+            .and_then(|text| text.parse().ok())
+            .unwrap_or_default();
+        if response.status() == reqwest::StatusCode::NOT_FOUND {
+            return Ok(ReadReply { value: None, index });
+        }
+        let entries: Vec<KeyEntry> = checked(response)?.json().await?;
+        let Some(entry) = entries.into_iter().next() else {
+            return Ok(ReadReply { value: None, index });
+        };
+        let value = BASE64_STANDARD
+            .decode(entry.value.unwrap_or_default())
+            .map_err(|error| StoreError::damaged(key, error))?;
+        let value = StoredValue { value, modify_index: entry.modify_index };
+        Ok(ReadReply { value: Some(value), index })
+    }
+
+    fn authorized(&self, request: reqwest::RequestBuilder) -> reqwest::RequestBuilder {
+        match &self.token {
+            Some(token) => request.header("X-Consul-Token", token),
+            None => request,
+        }
+    }
+}
+
+fn checked(response: reqwest::Response) -> Result<reqwest::Response> {
+    let status = response.status();
+    match status.is_success() {
+        true => Ok(response),
+        false => Err(StoreError::Status(status.as_u16())),
+    }
+}
--- /dev/null
+++ b/crates/mustardgrade-node/src/store/mod.rs
@@ -0,0 +1,12 @@
+//! The platform's key-value store, spoken to over HTTP in the style of Consul.
+
+mod client;
+mod document;
+mod errors;
+
+pub use client::{ReadReply, StoreClient, StoredValue};
+pub use document::{
+    PLACEMENT_KEY, RULES_KEY, RulesDocument, decode_placement, decode_rules, encode_placement,
+    encode_rules,
+};
+pub use errors::{Result, StoreError};
--- a/crates/mustardgrade-wire/src/coap/request.rs
+++ b/crates/mustardgrade-wire/src/coap/request.rs
@@ -38,10 +38,7 @@
     let MessageClass::Request(method) = packet.header.code else {
         return Err(CoapError::NotRequest);
     };
-    if !matches!(
-        packet.header.get_type(),
-        MessageType::Confirmable | MessageType::NonConfirmable
-    ) {
+    if !matches!(packet.header.get_type(), MessageType::Confirmable | MessageType::NonConfirmable) {
         return Err(CoapError::NotRequest);
     }
     let id = RequestId {
@@ -99,9 +96,7 @@
     packet.header.set_type(MessageType::Acknowledgement);
     packet.header.message_id = id.message_id;
     packet.set_token(id.token.clone());
-    packet
-        .to_bytes_unlimited()
-        .map_err(|_cause| CoapError::TooLarge)
+    packet.to_bytes_unlimited().map_err(|_cause| CoapError::TooLarge)
 }
 
 fn plain(code: ResponseType, payload: &[u8]) -> Packet {
@@ -112,10 +107,7 @@
 }
 
 fn challenge(ticket: &[u8]) -> Packet {
-    let mut packet = plain(
-        ResponseType::Unauthorized,
-        b"not run: repeat with this ticket",
-    );
+    let mut packet = plain(ResponseType::Unauthorized, b"not run: repeat with this ticket");
     packet.add_option(ECHO_OPTION, ticket.to_vec());
     packet
 }
--- a/crates/mustardgrade-wire/src/coap/tests.rs
+++ b/crates/mustardgrade-wire/src/coap/tests.rs
@@ -34,10 +34,7 @@
     let (caller, service) = addresses();
     let request = decode_request(caller, service, &post()).expect("the request is valid");
     let ticket = request.ticket.map(|ticket| ticket.len());
-    let report = format!(
-        "{} {} {ticket:?} {:?}",
-        request.id, request.idempotent, request.patience
-    );
+    let report = format!("{} {} {ticket:?} {:?}", request.id, request.idempotent, request.patience);
     expect!["192.0.2.1:5683#77 false Some(40) 1s"].assert_eq(&report);
 }
 
@@ -64,9 +61,7 @@
     let request = decode_request(caller, service, &post()).expect("the request is valid");
     let replies = [
         CallerReply::Challenge(vec![1; 40]),
-        CallerReply::NotRun {
-            retry_after: Duration::from_millis(1_200),
-        },
+        CallerReply::NotRun { retry_after: Duration::from_millis(1_200) },
         CallerReply::Unknown,
         CallerReply::Invalid,
     ];
@@ -74,11 +69,7 @@
         let bytes = encode_reply(&request.id, &reply).expect("it fits");
         let packet = Packet::from_bytes(&bytes).expect("it is valid");
         let payload = String::from_utf8_lossy(&packet.payload).into_owned();
-        format!(
-            "{} {} {payload}",
-            packet.header.get_code(),
-            packet.header.message_id
-        )
+        format!("{} {} {payload}", packet.header.get_code(), packet.header.message_id)
     });
     expect![[r#"
         4.01 77 not run: repeat with this ticket
@@ -95,13 +86,7 @@
     packet.set_token(7_u64.to_be_bytes().to_vec());
     let shed = packet.to_bytes_unlimited().expect("it fits");
     let message = decode_upstream_reply(&shed).expect("it is valid");
-    assert_eq!(
-        message,
-        UpstreamMessage {
-            exchange: 7,
-            reply: UpstreamReply::Shed
-        }
-    );
+    assert_eq!(message, UpstreamMessage { exchange: 7, reply: UpstreamReply::Shed });
     packet.set_token(vec![7]);
     let foreign = packet.to_bytes_unlimited().expect("it fits");
     assert_eq!(decode_upstream_reply(&foreign), Err(CoapError::Token));
--- a/crates/mustardgrade-wire/src/coap/upstream.rs
+++ b/crates/mustardgrade-wire/src/coap/upstream.rs
@@ -35,9 +35,7 @@
     packet.header.set_type(MessageType::NonConfirmable);
     packet.header.message_id = message_id_of(exchange);
     packet.set_token(exchange.to_be_bytes().to_vec());
-    packet
-        .to_bytes_unlimited()
-        .map_err(|_cause| CoapError::TooLarge)
+    packet.to_bytes_unlimited().map_err(|_cause| CoapError::TooLarge)
 }
 
 /// Encodes the cancellation of an exchange: a reset of its message (RFC 7252, section 4.2).
@@ -51,9 +49,7 @@
     packet.header.code = MessageClass::Empty;
     packet.header.set_type(MessageType::Reset);
     packet.header.message_id = message_id_of(exchange);
-    packet
-        .to_bytes_unlimited()
-        .expect("an empty message fits a datagram")
+    packet.to_bytes_unlimited().expect("an empty message fits a datagram")
 }
 
 /// Returns the message id of an exchange.
@@ -72,16 +68,10 @@
     let MessageClass::Response(code) = packet.header.code else {
         return Err(CoapError::NotResponse);
     };
-    let token: [u8; 8] = packet
-        .get_token()
-        .try_into()
-        .map_err(|_cause| CoapError::Token)?;
+    let token: [u8; 8] = packet.get_token().try_into().map_err(|_cause| CoapError::Token)?;
     let reply = match code {
         ResponseType::ServiceUnavailable => UpstreamReply::Shed,
         _ => UpstreamReply::Content(datagram.to_vec()),
     };
-    Ok(UpstreamMessage {
-        exchange: u64::from_be_bytes(token),
-        reply,
-    })
+    Ok(UpstreamMessage { exchange: u64::from_be_bytes(token), reply })
 }
--- a/crates/mustardgrade-wire/src/gue/mod.rs
+++ b/crates/mustardgrade-wire/src/gue/mod.rs
@@ -64,9 +64,7 @@
         return Err(GueError::Protocol);
     }
     let options = usize::from(header[0] & 0x1F) * 4;
-    datagram
-        .get(HEADER_BYTES + options..)
-        .ok_or(GueError::Truncated(datagram.len()))
+    datagram.get(HEADER_BYTES + options..).ok_or(GueError::Truncated(datagram.len()))
 }
 
 #[cfg(test)]
--- a/crates/mustardgrade-wire/src/inner/build.rs
+++ b/crates/mustardgrade-wire/src/inner/build.rs
@@ -15,16 +15,11 @@
 /// Panics if the payload does not fit a datagram, which callers of this function rule out.
 #[must_use]
 pub fn build_udp(source: SocketAddrV4, destination: SocketAddrV4, payload: &[u8]) -> Vec<u8> {
-    let builder = PacketBuilder::ipv4(
-        source.ip().octets(),
-        destination.ip().octets(),
-        TIME_TO_LIVE,
-    )
-    .udp(source.port(), destination.port());
+    let builder =
+        PacketBuilder::ipv4(source.ip().octets(), destination.ip().octets(), TIME_TO_LIVE)
+            .udp(source.port(), destination.port());
     let mut packet = Vec::with_capacity(builder.size(payload.len()));
-    builder
-        .write(&mut packet, payload)
-        .expect("a vector takes every packet within 64 KiB");
+    builder.write(&mut packet, payload).expect("a vector takes every packet within 64 KiB");
     packet
 }
 
@@ -41,18 +36,12 @@
         + u32::from(packet.flags.syn)
         + u32::from(packet.flags.fin);
     // A reset is accepted if it stands where the caller expects the next byte.
-    let sequence = if packet.flags.ack {
-        packet.acknowledgement
-    } else {
-        0
-    };
+    let sequence = if packet.flags.ack { packet.acknowledgement } else { 0 };
     let builder = PacketBuilder::ipv4(service.ip().octets(), caller.ip().octets(), TIME_TO_LIVE)
         .tcp(service.port(), caller.port(), sequence, 0)
         .rst()
         .ack(packet.sequence.wrapping_add(consumed));
     let mut reset = Vec::with_capacity(builder.size(0));
-    builder
-        .write(&mut reset, &[])
-        .expect("a vector takes every packet");
+    builder.write(&mut reset, &[]).expect("a vector takes every packet");
     reset
 }
--- a/crates/mustardgrade-wire/src/inner/tests.rs
+++ b/crates/mustardgrade-wire/src/inner/tests.rs
@@ -16,9 +16,7 @@
         .tcp(40_000, 443, 1_000, 512)
         .syn();
     let mut packet = Vec::new();
-    builder
-        .write(&mut packet, &[])
-        .expect("the packet is small");
+    builder.write(&mut packet, &[]).expect("the packet is small");
     packet
 }
 
@@ -31,13 +29,7 @@
     protocol[9] = 47;
     let mut offset = whole.clone();
     offset[32] = 0xF0;
-    let cases = [
-        &whole[..30],
-        &fragment,
-        &protocol,
-        &offset,
-        &[0x60, 0, 0, 0],
-    ];
+    let cases = [&whole[..30], &fragment, &protocol, &offset, &[0x60, 0, 0, 0]];
     let report = cases.map(|case| match parse_packet(case) {
         Ok(_) => "accepted".to_owned(),
         Err(error) => error.to_string(),
--- a/crates/mustardgrade-wire/src/peer/frame.rs
+++ b/crates/mustardgrade-wire/src/peer/frame.rs
@@ -47,12 +47,7 @@
     /// Creates the sealer of a channel; every sending thread of a host has a channel of its own.
     #[must_use]
     pub fn new(from: HostIncarnation, channel: u8, keys: FleetKeys) -> Self {
-        Self {
-            from,
-            channel,
-            keys,
-            sequence: 0,
-        }
+        Self { from, channel, keys, sequence: 0 }
     }
 
     /// Encodes and seals a body with the bytes that follow it.
@@ -62,11 +57,8 @@
     /// Never panics: every body of this crate can be encoded.
     pub fn seal<T: Serialize>(&mut self, body: &T, rest: &[u8]) -> Vec<u8> {
         self.sequence += 1;
-        let header = FrameHeader {
-            from: self.from,
-            channel: self.channel,
-            sequence: self.sequence,
-        };
+        let header =
+            FrameHeader { from: self.from, channel: self.channel, sequence: self.sequence };
         let mut frame = postcard::to_stdvec(&(header, body))
             .expect("bodies hold nothing that cannot be encoded");
         frame.extend_from_slice(rest);
@@ -86,10 +78,7 @@
     /// Creates an opener.
     #[must_use]
     pub fn new(keys: FleetKeys) -> Self {
-        Self {
-            keys,
-            windows: HashMap::new(),
-        }
+        Self { keys, windows: HashMap::new() }
     }
 
     /// Opens a frame.
@@ -105,19 +94,9 @@
         if self.windows.len() >= MAX_SENDERS && !self.windows.contains_key(&sender) {
             self.windows.clear();
         }
-        if !self
-            .windows
-            .entry(sender)
-            .or_default()
-            .accept(header.sequence)
-        {
+        if !self.windows.entry(sender).or_default().accept(header.sequence) {
             return Err(FrameError::Replayed);
         }
-        Ok(OpenedFrame {
-            from: header.from,
-            sequence: header.sequence,
-            body,
-            rest,
-        })
+        Ok(OpenedFrame { from: header.from, sequence: header.sequence, body, rest })
     }
 }
--- a/crates/mustardgrade-wire/src/peer/seal.rs
+++ b/crates/mustardgrade-wire/src/peer/seal.rs
@@ -51,10 +51,7 @@
         if secret.len() < MIN_SECRET_BYTES {
             return Err(FrameError::WeakSecret);
         }
-        Ok(Self(blake3::derive_key(
-            "mustardgrade 2026 host frame",
-            secret,
-        )))
+        Ok(Self(blake3::derive_key("mustardgrade 2026 host frame", secret)))
     }
 
     fn seal(&self, content: &[u8]) -> blake3::Hash {
@@ -84,10 +81,7 @@
     ///
     /// Fails if the frame is truncated or no key in force sealed it.
     pub fn open<'a>(&self, frame: &'a [u8]) -> Result<&'a [u8]> {
-        let length = frame
-            .len()
-            .checked_sub(SEAL_BYTES)
-            .ok_or(FrameError::Truncated)?;
+        let length = frame.len().checked_sub(SEAL_BYTES).ok_or(FrameError::Truncated)?;
         let (content, seal) = frame.split_at(length);
         let keys = [Some(&self.current), self.previous.as_ref()];
         let sealed = |key: &FleetKey| equal(&key.seal(content).as_bytes()[..SEAL_BYTES], seal);
@@ -100,8 +94,5 @@
 
 /// Compares two byte strings of one length in constant time.
 fn equal(left: &[u8], right: &[u8]) -> bool {
-    left.iter()
-        .zip(right)
-        .fold(0, |difference, (a, b)| difference | (a ^ b))
-        == 0
+    left.iter().zip(right).fold(0, |difference, (a, b)| difference | (a ^ b)) == 0
 }
--- a/crates/mustardgrade-wire/src/peer/tests.rs
+++ b/crates/mustardgrade-wire/src/peer/tests.rs
@@ -7,17 +7,11 @@
 
 fn keys(current: &str, previous: Option<&str>) -> FleetKeys {
     let derive = |secret: &str| FleetKey::derive(secret.as_bytes()).expect("secrets are long");
-    FleetKeys {
-        current: derive(current),
-        previous: previous.map(derive),
-    }
+    FleetKeys { current: derive(current), previous: previous.map(derive) }
 }
 
 fn sealer(secret: &str) -> FrameSealer {
-    let from = HostIncarnation {
-        host: HostId(1),
-        incarnation: 2,
-    };
+    let from = HostIncarnation { host: HostId(1), incarnation: 2 };
     FrameSealer::new(from, 0, keys(secret, None))
 }
 
@@ -25,13 +19,8 @@
 fn frames_are_opened_once_and_only_under_a_key_in_force() {
     let frame = sealer("the first secret").seal(&PeerCall::State, b"rest");
     let mut opener = FrameOpener::new(keys("the second secret", Some("the first secret")));
-    let opened = opener
-        .open::<PeerCall>(&frame)
-        .expect("the old key is still in force");
-    assert_eq!(
-        (opened.body, opened.rest),
-        (PeerCall::State, b"rest".as_slice())
-    );
+    let opened = opener.open::<PeerCall>(&frame).expect("the old key is still in force");
+    assert_eq!((opened.body, opened.rest), (PeerCall::State, b"rest".as_slice()));
     assert_eq!(opener.open::<PeerCall>(&frame), Err(FrameError::Replayed));
     let mut stranger = FrameOpener::new(keys("the second secret", None));
     assert_eq!(stranger.open::<PeerCall>(&frame), Err(FrameError::Forged));
