--- a/crates/mustardgrade-core/src/flow/router.rs
+++ b/crates/mustardgrade-core/src/flow/router.rs
@@ -183,6 +183,12 @@
         &self.exceptions
     }
 
+    /// Tells whether notes wait to be sent.
+    #[must_use]
+    pub fn has_notes(&self) -> bool {
+        !self.notes.is_empty()
+    }
+
     /// Returns the flow table.
     #[must_use]
     pub fn flows(&self) -> &FlowTable {
--- /dev/null
+++ b/crates/mustardgrade-standin/src/bin/mustardgrade-measure.rs
@@ -0,0 +1,141 @@
+//! The measuring tool.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use mustardgrade_standin::measure::{MeasureResult, SeedRange, compare_results, measure_scenario};
+use mustardgrade_standin::scenario::{Override, parse_scenario};
+
+/// Exit code of an input that cannot be used.
+const EXIT_INPUT: u8 = 2;
+
+/// Folder of the scenarios.
+const SCENARIO_FOLDER: &str = "scenarios";
+
+/// Measures mustardgrade in scripted scenarios; the same seed and settings print the same output.
+#[derive(Debug, FromArgs)]
+struct MeasureArguments {
+    #[argh(subcommand)]
+    command: MeasureCommand,
+}
+
+/// `MeasureCommand` is one of the subcommands.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum MeasureCommand {
+    Run(RunCommand),
+    List(ListCommand),
+    Compare(CompareCommand),
+}
+
+/// Runs a scenario and prints a line for each figure: name, value, unit, bound, verdict.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "run")]
+struct RunCommand {
+    /// scenario file
+    #[argh(positional)]
+    scenario: PathBuf,
+    /// one seed; 1 unless given
+    #[argh(option)]
+    seed: Option<u64>,
+    /// seeds A..B, both included
+    #[argh(option, from_str_fn(parse_seeds))]
+    seeds: Option<SeedRange>,
+    /// parameter of the scenario as key=value; may be given several times
+    #[argh(option, from_str_fn(parse_override))]
+    set: Vec<Override>,
+    /// file that the result is written to as JSON
+    #[argh(option)]
+    json: Option<PathBuf>,
+}
+
+/// Lists the scenarios in the folder 'scenarios'.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "list")]
+struct ListCommand {}
+
+/// Compares two results.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "compare")]
+struct CompareCommand {
+    /// first result
+    #[argh(positional)]
+    first: PathBuf,
+    /// second result
+    #[argh(positional)]
+    second: PathBuf,
+}
+
+fn parse_seeds(text: &str) -> Result<SeedRange, String> {
+    let (first, last) = text.split_once("..").ok_or("expected A..B")?;
+    let number = |text: &str| text.parse::<u64>().map_err(|_cause| "expected A..B".to_owned());
+    let range = SeedRange { first: number(first)?, last: number(last)? };
+    match range.first <= range.last {
+        true => Ok(range),
+        false => Err("the last seed comes before the first".to_owned()),
+    }
+}
+
+fn parse_override(text: &str) -> Result<Override, String> {
+    let (name, value) = text.split_once('=').ok_or("expected key=value")?;
+    Ok(Override { name: name.to_owned(), value: value.to_owned() })
+}
+
+fn main() -> ExitCode {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("error")).init();
+    let arguments: MeasureArguments = argh::from_env();
+    let outcome = match arguments.command {
+        MeasureCommand::Run(command) => run(&command),
+        MeasureCommand::List(_) => list(),
+        MeasureCommand::Compare(command) => compare(&command),
+    };
+    match outcome {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("mustardgrade-measure: {error}");
+            ExitCode::from(EXIT_INPUT)
+        }
+    }
+}
+
+fn run(command: &RunCommand) -> Result<ExitCode, String> {
+    let text = read(&command.scenario)?;
+    let scenario = parse_scenario(&text, &command.set)
+        .map_err(|error| format!("{}: {error}", command.scenario.display()))?;
+    let one = command.seed.unwrap_or(1);
+    let seeds = command.seeds.unwrap_or(SeedRange { first: one, last: one });
+    let result = measure_scenario(&scenario, seeds);
+    print!("{result}");
+    if let Some(path) = &command.json {
+        let json = serde_json::to_string_pretty(&result).map_err(|error| error.to_string())?;
+        std::fs::write(path, json).map_err(|error| format!("{}: {error}", path.display()))?;
+    }
+    Ok(if result.is_kept() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+fn list() -> Result<ExitCode, String> {
+    let folder = std::fs::read_dir(SCENARIO_FOLDER)
+        .map_err(|error| format!("{SCENARIO_FOLDER}: {error}"))?;
+    let mut paths: Vec<PathBuf> = folder.filter_map(|entry| Some(entry.ok()?.path())).collect();
+    paths.sort();
+    for path in paths.iter().filter(|path| path.extension().is_some_and(|kind| kind == "scn")) {
+        let scenario = parse_scenario(&read(path)?, &[])
+            .map_err(|error| format!("{}: {error}", path.display()))?;
+        println!("{:<40} {}", path.display(), scenario.title);
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn compare(command: &CompareCommand) -> Result<ExitCode, String> {
+    let load = |path: &Path| -> Result<MeasureResult, String> {
+        let text = read(path)?;
+        serde_json::from_str(&text).map_err(|error| format!("{}: {error}", path.display()))
+    };
+    print!("{}", compare_results(&load(&command.first)?, &load(&command.second)?));
+    Ok(ExitCode::SUCCESS)
+}
+
+fn read(path: &Path) -> Result<String, String> {
+    std::fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))
+}
--- a/crates/mustardgrade-standin/src/lib.rs
+++ b/crates/mustardgrade-standin/src/lib.rs
@@ -6,7 +6,10 @@
 pub mod caller;
 pub mod fabric;
 pub mod feed;
+pub mod measure;
 pub mod platform;
+pub mod scenario;
 pub mod tcp;
 pub mod trial;
 pub mod upstream;
+pub mod world;
--- /dev/null
+++ b/crates/mustardgrade-standin/src/measure/tests.rs
@@ -0,0 +1,34 @@
+//! Tests of the measuring tool.
+
+use super::{SeedRange, measure_scenario};
+use crate::scenario::{Override, parse_scenario};
+
+const CHANGE: &str = include_str!("../../../../scenarios/baseline-change.scn");
+
+fn measure(settings: &[(&str, &str)], seed: u64) -> super::MeasureResult {
+    let overrides: Vec<Override> = settings
+        .iter()
+        .map(|(name, value)| Override { name: (*name).to_owned(), value: (*value).to_owned() })
+        .collect();
+    let scenario = parse_scenario(CHANGE, &overrides).expect("the scenario is valid");
+    measure_scenario(&scenario, SeedRange { first: seed, last: seed })
+}
+
+fn value(result: &super::MeasureResult, name: &str) -> f64 {
+    let figure = result.figures.iter().find(|figure| figure.name == name);
+    figure.map_or(0.0, |figure| figure.value)
+}
+
+#[test]
+fn the_same_seed_gives_the_same_output() {
+    let small = [("flows", "500")];
+    assert_eq!(measure(&small, 3).to_string(), measure(&small, 3).to_string());
+}
+
+#[test]
+fn guards_keep_flows_that_the_baseline_breaks() {
+    let baseline = measure(&[("flows", "2000"), ("placement", "computed")], 1);
+    assert!(value(&baseline, "broken_flows") > 0.0, "{baseline}");
+    let guarded = measure(&[("flows", "2000")], 1);
+    assert!(guarded.is_kept(), "{guarded}");
+}
--- /dev/null
+++ b/crates/mustardgrade-standin/src/scenario/mod.rs
@@ -0,0 +1,17 @@
+//! The scenario language: short text files that set sizes, load, events and bounds.
+//!
+//! The grammar is in `docs/SCENARIOS.md`.
+
+mod errors;
+mod grammar;
+mod model;
+
+pub use errors::{Result, ScenarioError};
+pub use grammar::{Override, parse_scenario};
+pub use model::{
+    BoundRule, Comparison, DataCentreSpec, EventAction, FlowLoad, NetworkSpec, RequestLoad,
+    Scenario, ScenarioOptions, ServiceSpec, StoreFault, TimedEvent,
+};
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/mustardgrade-standin/src/scenario/model.rs
@@ -0,0 +1,246 @@
+//! Scenarios as data.
+
+use std::time::Duration;
+
+use derive_more::Display;
+use mustardgrade_core::flow::PlacementMode;
+use mustardgrade_core::placement::AssignMethod;
+use mustardgrade_core::rule::{DataCentreState, ServiceClass};
+
+/// `DataCentreSpec` is a data centre with its entry hosts.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DataCentreSpec {
+    /// Its name.
+    pub name: String,
+    /// Its entry hosts, named after it with numbers from 1.
+    pub hosts: usize,
+}
+
+/// `ServiceSpec` is a service with its upstreams, which stand in the data centres in turn.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServiceSpec {
+    /// Its name.
+    pub name: String,
+    /// What it carries.
+    pub class: ServiceClass,
+    /// Its upstreams, named after it with numbers from 1.
+    pub upstreams: usize,
+    /// Slots of each upstream.
+    pub slots: u16,
+}
+
+/// `FlowLoad` is the load of long flows.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct FlowLoad {
+    /// Flows that are open from the start to the end.
+    pub held: usize,
+    /// Mean time between two packets of a flow.
+    pub every: Duration,
+    /// New flows a second.
+    pub opening: u64,
+    /// Life of a new flow.
+    pub life: Duration,
+}
+
+/// `RequestLoad` is the load of requests.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct RequestLoad {
+    /// Requests a second.
+    pub rate: f64,
+    /// Mean service time at a warm upstream.
+    pub service_time: Duration,
+    /// Share of non-idempotent requests, 0 to 1.
+    pub once: f64,
+    /// Patience of callers.
+    pub patience: Duration,
+}
+
+/// `NetworkSpec` is the behaviour of the network between hosts.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct NetworkSpec {
+    /// Shortest one-way delay.
+    pub delay_min: Duration,
+    /// Longest one-way delay.
+    pub delay_max: Duration,
+    /// Share of control datagrams lost, 0 to 1.
+    pub loss: f64,
+    /// Share of control datagrams that arrive twice, 0 to 1.
+    pub copy: f64,
+}
+
+impl Default for NetworkSpec {
+    fn default() -> Self {
+        let delay = Duration::from_millis(1);
+        Self { delay_min: delay, delay_max: delay, loss: 0.0, copy: 0.0 }
+    }
+}
+
+/// `ScenarioOptions` are settings of the hosts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ScenarioOptions {
+    /// How flows stay with their upstream.
+    pub placement: PlacementMode,
+    /// How buckets are given to upstreams.
+    pub method: AssignMethod,
+    /// Time for which moved buckets collect their old flows.
+    pub collect: Duration,
+    /// Whether announced moves wait for the echo of all hosts; only broken on purpose.
+    pub echo: bool,
+}
+
+impl Default for ScenarioOptions {
+    fn default() -> Self {
+        Self {
+            placement: PlacementMode::Guarded,
+            method: AssignMethod::Bounded,
+            collect: Duration::from_secs(60),
+            echo: true,
+        }
+    }
+}
+
+/// `StoreFault` says how the store misbehaves.
+#[derive(Debug, Display, Clone, Copy, PartialEq, Eq)]
+pub enum StoreFault {
+    /// It answers nothing.
+    #[display("down")]
+    Down,
+    /// It answers after a second.
+    #[display("slow")]
+    Slow,
+    /// Writes take effect but their answers are lost.
+    #[display("lost-answer")]
+    LostAnswer,
+}
+
+/// `EventAction` is what happens at a time.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum EventAction {
+    /// An upstream is declared draining.
+    Drain(String),
+    /// An upstream is declared serving.
+    Serve(String),
+    /// An upstream is declared gone.
+    Gone(String),
+    /// A new upstream of a service is added to the rules, cold.
+    AddUpstream {
+        /// Name of the service.
+        service: String,
+        /// Name of the upstream.
+        upstream: String,
+    },
+    /// A host dies.
+    Kill(String),
+    /// A host is stopped gracefully.
+    Stop(String),
+    /// A host is stopped gracefully and another one started in its data centre.
+    Replace(String),
+    /// A new host starts in a data centre.
+    StartHost {
+        /// Name of the host.
+        host: String,
+        /// Name of the data centre.
+        data_centre: String,
+    },
+    /// A host does not run for a while.
+    Pause {
+        /// Name of the host.
+        host: String,
+        /// Length of the pause.
+        length: Duration,
+    },
+    /// A data centre is cut off from the others and from the store.
+    Cut {
+        /// Name of the data centre.
+        data_centre: String,
+        /// Length of the cut.
+        length: Duration,
+    },
+    /// A data centre is taken out or in.
+    DataCentre {
+        /// Name of the data centre.
+        data_centre: String,
+        /// Its new state.
+        state: DataCentreState,
+    },
+    /// The store misbehaves for a while.
+    Store {
+        /// How.
+        fault: StoreFault,
+        /// For how long.
+        length: Duration,
+    },
+    /// An upstream of a request service turns cold without warning.
+    TurnCold(String),
+    /// An upstream restarts: it forgets what it serves and is cold.
+    RestartUpstream(String),
+}
+
+/// `TimedEvent` is an event with its time from the start.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TimedEvent {
+    /// Time from the start.
+    pub at: Duration,
+    /// What happens.
+    pub action: EventAction,
+}
+
+/// `Comparison` is the direction of a bound.
+#[derive(Debug, Display, Clone, Copy, PartialEq, Eq)]
+pub enum Comparison {
+    /// The figure may not be larger.
+    #[display("<=")]
+    AtMost,
+    /// The figure may not be smaller.
+    #[display(">=")]
+    AtLeast,
+}
+
+/// `BoundRule` bounds a figure.
+#[derive(Debug, Clone, PartialEq)]
+pub struct BoundRule {
+    /// Name of the figure.
+    pub figure: String,
+    /// Direction.
+    pub comparison: Comparison,
+    /// The bound.
+    pub value: f64,
+}
+
+impl BoundRule {
+    /// Tells whether a value keeps the bound.
+    #[must_use]
+    pub fn holds(&self, value: f64) -> bool {
+        match self.comparison {
+            Comparison::AtMost => value <= self.value,
+            Comparison::AtLeast => value >= self.value,
+        }
+    }
+}
+
+/// `Scenario` is a scenario file.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Scenario {
+    /// What it shows.
+    pub title: String,
+    /// Data centres.
+    pub data_centres: Vec<DataCentreSpec>,
+    /// Services.
+    pub services: Vec<ServiceSpec>,
+    /// Load of flows.
+    pub flows: FlowLoad,
+    /// Load of requests.
+    pub requests: RequestLoad,
+    /// Network between hosts.
+    pub network: NetworkSpec,
+    /// Settings of hosts.
+    pub options: ScenarioOptions,
+    /// Length.
+    pub length: Duration,
+    /// Time from which steady figures are taken.
+    pub warm_up: Duration,
+    /// Events in order of time.
+    pub events: Vec<TimedEvent>,
+    /// Bounds.
+    pub bounds: Vec<BoundRule>,
+}
--- /dev/null
+++ b/crates/mustardgrade-standin/src/world/event.rs
@@ -0,0 +1,131 @@
+//! Events of a world, in order of time.
+
+use std::cmp::Ordering;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+
+use mustardgrade_core::flow::{BindingRecord, FlowNote, FlowPacket, HopHeader};
+use mustardgrade_core::identity::{DataCentreId, ServiceId};
+use mustardgrade_core::membership::{ControllerInput, StoredPlacement};
+
+/// `RecordDelivery` is what a host receives by a call.
+#[derive(Debug)]
+pub(super) enum RecordDelivery {
+    /// Records that the host owns or will own.
+    Merge(Vec<ServiceList>),
+    /// Records, and the end of a round of asking all peers.
+    MergeLast(Vec<ServiceList>),
+    /// All settled exceptions as of a generation.
+    Exceptions(u64, Vec<ServiceList>),
+    /// Settled exceptions, with what the controller is told then.
+    Settled(Vec<ServiceList>, ControllerInput),
+}
+
+/// `ServiceList` lists records of one service.
+pub(super) type ServiceList = (ServiceId, Vec<BindingRecord>);
+
+/// `FlowHop` is a packet on its way from host to host.
+#[derive(Debug)]
+pub(super) struct FlowHop {
+    pub(super) flow: u32,
+    pub(super) attempt: u32,
+    pub(super) packet: FlowPacket,
+    pub(super) header: HopHeader,
+    pub(super) from: usize,
+}
+
+/// `WorldEvent` is something that happens in a world.
+#[derive(Debug)]
+pub(super) enum WorldEvent {
+    Tick { host: usize, run: u32 },
+    Control { host: usize, run: u32, input: Box<ControllerInput> },
+    Records { host: usize, run: u32, records: Box<RecordDelivery> },
+    Notes { host: usize, run: u32, notes: Vec<FlowNote> },
+    FlushNotes { host: usize, run: u32 },
+    StoreRead { host: usize, run: u32 },
+    StoreWrite { host: usize, run: u32, book: StoredPlacement },
+    ListRead { host: usize, run: u32 },
+    Send { flow: u32 },
+    Hop { host: usize, run: u32, hop: Box<FlowHop> },
+    Close { flow: u32 },
+    OpenFlows,
+    Action(usize),
+    Wake { host: usize },
+    Heal { data_centre: DataCentreId },
+    StoreWorks,
+    FabricForgets { host: usize },
+    Sample,
+}
+
+impl WorldEvent {
+    /// Returns the host that must run for the event to happen.
+    pub(super) fn host(&self) -> Option<usize> {
+        match self {
+            Self::Tick { host, .. }
+            | Self::Control { host, .. }
+            | Self::Records { host, .. }
+            | Self::Notes { host, .. }
+            | Self::FlushNotes { host, .. }
+            | Self::StoreRead { host, .. }
+            | Self::ListRead { host, .. }
+            | Self::Hop { host, .. } => Some(*host),
+            Self::StoreWrite { .. }
+            | Self::Send { .. }
+            | Self::Close { .. }
+            | Self::OpenFlows
+            | Self::Action(_)
+            | Self::Wake { .. }
+            | Self::Heal { .. }
+            | Self::StoreWorks
+            | Self::FabricForgets { .. }
+            | Self::Sample => None,
+        }
+    }
+}
+
+/// `ScheduledEvent` is an event with its time; equal times keep the order of scheduling.
+#[derive(Debug)]
+pub(super) struct ScheduledEvent {
+    pub(super) at: Duration,
+    number: u64,
+    pub(super) event: WorldEvent,
+}
+
+impl PartialEq for ScheduledEvent {
+    fn eq(&self, other: &Self) -> bool {
+        (self.at, self.number) == (other.at, other.number)
+    }
+}
+
+impl Eq for ScheduledEvent {}
+
+impl PartialOrd for ScheduledEvent {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for ScheduledEvent {
+    fn cmp(&self, other: &Self) -> Ordering {
+        // The heap returns its greatest element, so the earliest event counts as greatest.
+        (other.at, other.number).cmp(&(self.at, self.number))
+    }
+}
+
+/// `EventQueue` returns events in order of time.
+#[derive(Debug, Default)]
+pub(super) struct EventQueue {
+    heap: BinaryHeap<ScheduledEvent>,
+    number: u64,
+}
+
+impl EventQueue {
+    pub(super) fn push(&mut self, at: Duration, event: WorldEvent) {
+        self.number += 1;
+        self.heap.push(ScheduledEvent { at, number: self.number, event });
+    }
+
+    pub(super) fn pop(&mut self) -> Option<ScheduledEvent> {
+        self.heap.pop()
+    }
+}
