--- a/crates/mustardgrade-core/src/membership/controller.rs
+++ b/crates/mustardgrade-core/src/membership/controller.rs
@@ -7,7 +7,9 @@
 
 use super::digest::{HostDigest, HostState};
 use super::member::{ListedHost, MemberOptions, MemberTable};
-use crate::flow::{PlacementMode, RoutingSnapshot, SnapshotInputs, build_snapshot};
+use crate::flow::{
+    PlacementMode, RouteMember, RoutingSnapshot, SnapshotInputs, build_snapshot,
+};
 use crate::identity::{DataCentreId, HostId, HostIncarnation, ServiceId, rendezvous_order};
 use crate::placement::{
     BucketIndex, BucketPhase, EchoState, PlacementBook, PlacementPlanner, PlannerOptions,
@@ -171,6 +173,22 @@
     Stopped,
 }
 
+/// `SnapshotView` is what a snapshot depends on; an unchanged view needs no new snapshot.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct SnapshotView {
+    revision: u64,
+    echoed: bool,
+    generation: u64,
+    members: Vec<RouteMember>,
+}
+
+/// `PlanInputs` is what a plan without guards depends on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct PlanInputs {
+    revision: u64,
+    generation: u64,
+}
+
 /// `HostController` takes all control decisions of one host.
 ///
 /// It performs no I/O: inputs come in by [`HostController::handle`], and the returned outputs are
@@ -184,6 +202,7 @@
     placement: StoredPlacement,
     covered: BTreeMap<ServiceId, BTreeSet<BucketIndex>>,
     exceptions_complete: bool,
+    is_settling: bool,
     settled: u64,
     sequence: u64,
     join: JoinStep,
@@ -196,6 +215,8 @@
     wanted_since: Option<Duration>,
     last_echo: Option<EchoState>,
     last_snapshot: Option<Arc<RoutingSnapshot>>,
+    last_view: Option<SnapshotView>,
+    idle_plan: Option<PlanInputs>,
     dirty: bool,
 }
 
@@ -211,6 +232,7 @@
             placement: Arc::new(PlacementBook::default()),
             covered: BTreeMap::new(),
             exceptions_complete: false,
+            is_settling: false,
             settled: 0,
             sequence: 0,
             join: JoinStep::Configuration,
@@ -223,6 +245,8 @@
             wanted_since: None,
             last_echo: None,
             last_snapshot: None,
+            last_view: None,
+            idle_plan: None,
             dirty: false,
         }
     }
@@ -377,6 +401,9 @@
         self.last_fetch = None;
         self.check_exceptions(&placement);
         self.planner.observe(&placement, now);
+        self.is_settling = placement.tables.iter().any(|table| {
+            table.slots.iter().any(|slot| slot.phase == BucketPhase::Settling)
+        });
         self.placement = placement;
         self.wanted_since = None;
         self.dirty = true;
@@ -429,7 +456,7 @@
     }
 
     fn update_settled(&mut self) {
-        let complete = self.uncovered().next().is_none();
+        let complete = !self.is_settling || self.uncovered().next().is_none();
         if complete && self.exceptions_complete {
             self.settled = self.placement.generation;
         }
@@ -600,21 +627,26 @@
 
     fn install_snapshot(&mut self, out: &mut Vec<ControllerOutput>) {
         let Some(rules) = &self.rules else { return };
-        let own = self.digest();
-        let members = self.members.route_members(&own);
-        let snapshot = build_snapshot(SnapshotInputs {
+        let view = SnapshotView {
+            revision: rules.revision,
+            echoed: self.members.rules_echoed(rules.revision),
+            generation: self.placement.generation,
+            members: self.members.route_members(&self.digest()),
+        };
+        if self.last_view.as_ref() == Some(&view) {
+            return;
+        }
+        let snapshot = Arc::new(build_snapshot(SnapshotInputs {
             rules: &rules.book,
-            rules_revision: rules.revision,
-            rules_echoed: self.members.rules_echoed(rules.revision),
+            rules_revision: view.revision,
+            rules_echoed: view.echoed,
             book: &self.placement,
-            members: &members,
+            members: &view.members,
             guarded: self.options.mode == PlacementMode::Guarded,
-        });
-        if self.last_snapshot.as_deref() != Some(&snapshot) {
-            let snapshot = Arc::new(snapshot);
-            self.last_snapshot = Some(Arc::clone(&snapshot));
-            out.push(ControllerOutput::Install(snapshot));
-        }
+        }));
+        self.last_view = Some(view);
+        self.last_snapshot = Some(Arc::clone(&snapshot));
+        out.push(ControllerOutput::Install(snapshot));
     }
 
     fn report_heard(&self, now: Duration, out: &mut Vec<ControllerOutput>) {
@@ -627,6 +659,10 @@
     }
 
     fn fetch_settled(&mut self, now: Duration, out: &mut Vec<ControllerOutput>) {
+        if !self.is_settling {
+            self.update_settled();
+            return;
+        }
         let waited = self.last_settle_fetch.is_none_or(|last| now >= last + FETCH_RETRY);
         let Some(snapshot) = self.last_snapshot.clone().filter(|_| waited) else {
             return;
@@ -677,6 +713,11 @@
         self.last_plan = now;
         let own = self.digest();
         let Some(rules) = &self.rules else { return };
+        let inputs =
+            PlanInputs { revision: rules.revision, generation: self.placement.generation };
+        if self.idle_plan == Some(inputs) {
+            return;
+        }
         // Hosts that are further back in the order only step in when nothing happens.
         let rank = self.proposer_rank();
         let weight = |rule: &UpstreamRule| u32::from(rule.slots) * WARM_WEIGHT_PER_SLOT;
@@ -685,6 +726,7 @@
             self.planner.propose(&self.placement, &rules.book, rules.revision, &weight, echo, now);
         let Some(book) = proposal else {
             self.wanted_since = None;
+            self.idle_plan = (!self.placement.has_guards()).then_some(inputs);
             return;
         };
         let since = *self.wanted_since.get_or_insert(now);
--- a/crates/mustardgrade-node/src/settings/tests.rs
+++ b/crates/mustardgrade-node/src/settings/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the settings.
 
+use std::sync::atomic::{AtomicU32, Ordering};
+
 use expect_test::expect;
 
 use super::{HostSettings, SettingsReader};
@@ -21,7 +23,10 @@
 ";
 
 fn load(text: &str) -> String {
-    let secret = std::env::temp_dir().join(format!("mustardgrade-secret-{}", std::process::id()));
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let name = format!("mustardgrade-secret-{}-{number}", std::process::id());
+    let secret = std::env::temp_dir().join(name);
     std::fs::write(&secret, "a secret of many bytes\n").expect("the file can be written");
     let text = text.replace("SECRET", &secret.display().to_string());
     let settings = SettingsReader::parse("host.ini", &text)
--- a/crates/mustardgrade-standin/src/world/event.rs
+++ b/crates/mustardgrade-standin/src/world/event.rs
@@ -1,7 +1,7 @@
 //! Events of a world, in order of time.
 
 use std::cmp::Ordering;
-use std::collections::BinaryHeap;
+use std::collections::{BinaryHeap, VecDeque};
 use std::time::Duration;
 
 use mustardgrade_core::flow::{BindingRecord, FlowNote, FlowPacket, HopHeader};
@@ -112,20 +112,42 @@
     }
 }
 
+/// Width of one slot of the queue in milliseconds; wider ones make the heap of near events large.
+const SLOT_MS: u128 = 20;
+
 /// `EventQueue` returns events in order of time.
+///
+/// Near events stand in a heap; far ones wait unsorted in slots until their time comes near.
 #[derive(Debug, Default)]
 pub(super) struct EventQueue {
-    heap: BinaryHeap<ScheduledEvent>,
+    near: BinaryHeap<ScheduledEvent>,
+    far: VecDeque<Vec<ScheduledEvent>>,
+    first_far: u128,
     number: u64,
 }
 
 impl EventQueue {
     pub(super) fn push(&mut self, at: Duration, event: WorldEvent) {
         self.number += 1;
-        self.heap.push(ScheduledEvent { at, number: self.number, event });
+        let scheduled = ScheduledEvent { at, number: self.number, event };
+        let slot = at.as_millis() / SLOT_MS;
+        let Some(index) = slot.checked_sub(self.first_far) else {
+            self.near.push(scheduled);
+            return;
+        };
+        let index = index as usize;
+        while self.far.len() <= index {
+            self.far.push_back(Vec::new());
+        }
+        self.far[index].push(scheduled);
     }
 
     pub(super) fn pop(&mut self) -> Option<ScheduledEvent> {
-        self.heap.pop()
+        while self.near.is_empty() {
+            let slot = self.far.pop_front()?;
+            self.first_far += 1;
+            self.near.extend(slot);
+        }
+        self.near.pop()
     }
 }
--- a/crates/mustardgrade-standin/src/world/flows.rs
+++ b/crates/mustardgrade-standin/src/world/flows.rs
@@ -147,17 +147,19 @@
 
     /// Returns the random host that the fabric hands a packet of a caller to.
     fn pick_host(&mut self, home: DataCentreId) -> Option<usize> {
-        let usable: Vec<usize> = (0..self.hosts.len())
-            .filter(|host| {
-                let host = &self.hosts[*host];
-                let out = self.tally.out_since.contains_key(&host.data_centre);
-                host.in_fabric && !out && self.network.connects(home, host.data_centre)
-            })
-            .collect();
-        match usable.is_empty() {
-            true => None,
-            false => Some(usable[self.random.random_range(0..usable.len())]),
+        let count = self.hosts.iter().filter(|host| self.takes_from(home, host)).count();
+        if count == 0 {
+            return None;
         }
+        let chosen = self.random.random_range(0..count);
+        let takers = self.hosts.iter().enumerate().filter(|(_, host)| self.takes_from(home, host));
+        takers.map(|(index, _)| index).nth(chosen)
+    }
+
+    /// Tells whether the fabric may hand a host the packets of a caller.
+    fn takes_from(&self, home: DataCentreId, host: &super::VirtualHost) -> bool {
+        let out = self.tally.out_since.contains_key(&host.data_centre);
+        host.in_fabric && !out && self.network.connects(home, host.data_centre)
     }
 
     fn follow(
