Leave decisions to the chain, and conflicts to the replica

Change: a host outside the chain passes on to the owner; the owner records older flows only once the replica has agreed; a fenced host without peers drops. Conclusion: ruled out before: lost transfers (none), lost notes (no loss here).

--- a/crates/mustardgrade-core/src/flow/router.rs
+++ b/crates/mustardgrade-core/src/flow/router.rs
@@ -469,7 +469,10 @@
         let snapshot = Arc::clone(&self.snapshot);
         let chain = snapshot.chain(case.route, case.bucket);
         let Some(chain) = chain else {
-            return self.deliver(case, claim.unwrap_or(case.slot.unlisted()));
+            return match fenced {
+                true => self.drop_packet(DropCause::Fenced),
+                false => self.deliver(case, claim.unwrap_or(case.slot.unlisted())),
+            };
         };
         let header = HopHeader {
             stage: HopStage::Owner { claim },
@@ -504,6 +507,14 @@
         if self.is_fenced(case.now) {
             return self.drop_packet(DropCause::Fenced);
         }
+        let snapshot = Arc::clone(&self.snapshot);
+        let chain = snapshot.chain(case.route, case.bucket);
+        if let Some(chain) = chain.filter(|chain| !chain.contains(self.me)) {
+            // The sender sees other hosts than this one does. A host outside the chain knows too
+            // little to decide.
+            let header = HopHeader { hops: hop.hops + 1, sender: self.me, ..hop };
+            return self.hop_to(case, &snapshot, chain.owner, header);
+        }
         let upstream = match case.packet.opens() {
             true => case.slot.opening(),
             false => claim.unwrap_or(case.slot.unlisted()),
@@ -511,13 +522,19 @@
         if case.packet.opens() && !case.route.upstream(upstream).is_some_and(|up| up.takes_new) {
             return self.drop_packet(DropCause::AwaitingMove);
         }
-        self.record(service, case.fingerprint, upstream);
-        let snapshot = Arc::clone(&self.snapshot);
-        self.copy_to_upcoming(&snapshot, case, upstream);
-        let chain = snapshot.chain(case.route, case.bucket);
-        let next = chain.and_then(|chain| chain.next_after(self.me));
-        // The packet itself carries the new record to the replica: a flow whose record was lost
-        // with its packet has not reached any upstream.
+        let Some(next) = chain.and_then(|chain| chain.next_after(self.me)) else {
+            self.record(service, case.fingerprint, upstream);
+            self.copy_to_upcoming(&snapshot, case, upstream);
+            return self.deliver(case, upstream);
+        };
+        if case.packet.opens() {
+            // The packet itself carries the new record to the replica: a flow whose record was
+            // lost with its packet has not reached any upstream.
+            self.record(service, case.fingerprint, upstream);
+            self.copy_to_upcoming(&snapshot, case, upstream);
+        }
+        // An older flow that this host does not know may be known to the replica, so it is recorded
+        // here only when the replica says so.
         let header = HopHeader {
             stage: HopStage::Replica { verdict: upstream },
             sender: self.me,
@@ -525,28 +542,27 @@
             hops: hop.hops + 1,
             ..hop
         };
-        match next {
-            Some(host) => self.hop_to(case, &snapshot, host, header),
-            None => self.deliver(case, upstream),
-        }
+        self.hop_to(case, &snapshot, next, header)
     }
 
     /// Acts as the replica of a guarded bucket.
     fn copy_record(&mut self, case: FlowCase<'_>, hop: HopHeader, verdict: u16) -> FlowVerdict {
         let service = case.route.service;
-        let upstream = match self.records.get(service, case.fingerprint) {
-            Some(held) => held,
-            None => {
-                self.record(service, case.fingerprint, verdict);
-                verdict
-            }
-        };
-        if upstream != verdict {
-            self.counters.conflicts += 1;
+        let held = self.records.get(service, case.fingerprint);
+        let upstream = held.unwrap_or(verdict);
+        if held.is_none() {
+            self.record(service, case.fingerprint, verdict);
+            let snapshot = Arc::clone(&self.snapshot);
+            self.copy_to_upcoming(&snapshot, case, verdict);
+        }
+        let conflict = upstream != verdict;
+        self.counters.conflicts += u64::from(conflict);
+        if conflict || !case.packet.opens() {
+            let kind = if conflict { NoteKind::Correction } else { NoteKind::Copy };
             let lane = self.bucket_lane(case.bucket);
-            self.note(case, hop.sender, lane, upstream, NoteKind::Correction);
+            self.note(case, hop.sender, lane, upstream, kind);
         }
-        self.answer(case, &hop, upstream, upstream != verdict);
+        self.answer(case, &hop, upstream, conflict);
         self.deliver(case, upstream)
     }
 
--- a/crates/mustardgrade-standin/src/world/flows.rs
+++ b/crates/mustardgrade-standin/src/world/flows.rs
@@ -171,6 +171,7 @@
         verdict: FlowVerdict,
     ) {
         self.schedule_notes_if_any(host);
+        log::trace!(at:? = self.now, flow, host, verdict:? = verdict; "flow packet");
         match verdict {
             FlowVerdict::Tunnel { upstream, .. } => self.arrive(host, flow, upstream),
             FlowVerdict::Hop { address, header, .. } => {
@@ -240,7 +241,10 @@
                 arriving.upstream = Some(upstream);
                 arriving.state = FlowState::Open;
                 let draining = self.tally.draining_since.get(&upstream);
+                // A host that is cut off from the store cannot have heard of the rule.
+                let heard = self.network.reaches_store(self.hosts[host].data_centre);
                 let late = draining.is_some_and(|since| self.now > *since + RULE_GRACE);
+                let late = late && heard;
                 self.tally.new_on_draining += u64::from(late);
             }
             Some(own) if own != upstream => {
