Let returning and joining hosts own buckets only with their records

Change: a host whose data centre was out joins anew; a joiner fetches the records of every bucket that it may come to own and gets copies of new ones; waiting for peers counts from the step's start.

--- a/crates/mustardgrade-core/src/flow/chain.rs
+++ b/crates/mustardgrade-core/src/flow/chain.rs
@@ -39,8 +39,6 @@
 /// Computes the chain of a bucket over the hosts of `data_centre`, or over all hosts if that data
 /// centre has none.
 ///
-/// With `upcoming`, hosts that are about to serve count as well.
-///
 /// Keeping the chain in the data centre of the bucket's upstream lets flows go on whose ends stand
 /// on one side of a cut.
 #[must_use]
@@ -49,17 +47,12 @@
     bucket: BucketIndex,
     data_centre: Option<DataCentreId>,
     members: &[RouteMember],
-    upcoming: bool,
 ) -> Option<OwnerChain> {
     let key = service.0 ^ u64::from(bucket.0).wrapping_mul(0x9E37_79B9_7F4A_7C15);
-    let counts = |member: &&RouteMember| match member.role {
-        OwnerRole::Eligible => true,
-        OwnerRole::Upcoming => upcoming,
-        OwnerRole::None => false,
-    };
+    let eligible = |member: &&RouteMember| member.role == OwnerRole::Eligible;
     let local =
-        members.iter().filter(counts).filter(|member| Some(member.data_centre) == data_centre);
-    best_two(key, local).or_else(|| best_two(key, members.iter().filter(counts)))
+        members.iter().filter(eligible).filter(|member| Some(member.data_centre) == data_centre);
+    best_two(key, local).or_else(|| best_two(key, members.iter().filter(eligible)))
 }
 
 fn best_two<'a>(key: u64, members: impl Iterator<Item = &'a RouteMember>) -> Option<OwnerChain> {
--- a/crates/mustardgrade-core/src/flow/router.rs
+++ b/crates/mustardgrade-core/src/flow/router.rs
@@ -12,7 +12,7 @@
 use super::hop::{FlowNote, HopHeader, HopStage, NoteKind, PeerNote, RecordTransfer};
 use super::packet::FlowPacket;
 use super::records::{BindingRecord, RecordTable};
-use super::snapshot::{RoutingSnapshot, ServiceRoute};
+use super::snapshot::{OwnerRole, RoutingSnapshot, ServiceRoute};
 use super::table::{FlowTable, InsertOutcome};
 use crate::identity::{HostId, ServiceId, UpstreamId};
 use crate::placement::{BucketIndex, BucketSlot};
@@ -385,18 +385,13 @@
         std::mem::take(&mut self.transfers)
     }
 
-    /// Returns the records of the buckets whose chain `host` is in or will be in.
+    /// Returns the records of all buckets whose chain `host` may come to be in.
     #[must_use]
     pub fn records_for(&self, host: HostId, service: ServiceId) -> Vec<BindingRecord> {
-        let Some(route) = self.snapshot.service(service) else {
-            return Vec::new();
-        };
-        let kept = |bucket| {
-            let now = self.snapshot.chain(route, bucket);
-            let soon = self.snapshot.upcoming_chain(route, bucket);
-            [now, soon].into_iter().flatten().any(|chain| chain.contains(host))
-        };
-        self.bucket_records(service, &kept)
+        let Some(route) = self.snapshot.service(service) else { return Vec::new() };
+        let member = self.snapshot.members.iter().find(|member| member.host == host);
+        let Some(member) = member else { return Vec::new() };
+        self.bucket_records(service, &|bucket| self.snapshot.may_keep(route, bucket, member))
     }
 
     fn case_of<'a>(
@@ -566,18 +561,17 @@
         self.deliver(case, upstream)
     }
 
-    /// Sends a new record to the hosts that will be in the chain once they serve.
+    /// Sends a new record to the hosts that may be in the chain once they serve.
     fn copy_to_upcoming(&mut self, snapshot: &RoutingSnapshot, case: FlowCase<'_>, upstream: u16) {
         if !snapshot.has_upcoming() {
             return;
         }
-        let now = snapshot.chain(case.route, case.bucket);
-        let Some(soon) = snapshot.upcoming_chain(case.route, case.bucket) else {
-            return;
-        };
-        for host in soon.hosts().filter(|host| !now.is_some_and(|chain| chain.contains(*host))) {
-            let lane = self.bucket_lane(case.bucket);
-            self.note(case, host, lane, upstream, NoteKind::Copy);
+        for member in &snapshot.members {
+            let upcoming = member.role == OwnerRole::Upcoming && member.host != self.me;
+            if upcoming && snapshot.may_keep(case.route, case.bucket, member) {
+                let lane = self.bucket_lane(case.bucket);
+                self.note(case, member.host, lane, upstream, NoteKind::Copy);
+            }
         }
     }
 
--- a/crates/mustardgrade-core/src/flow/snapshot.rs
+++ b/crates/mustardgrade-core/src/flow/snapshot.rs
@@ -100,13 +100,24 @@
     /// Computes the chain of a bucket.
     #[must_use]
     pub fn chain(&self, route: &ServiceRoute, bucket: BucketIndex) -> Option<OwnerChain> {
-        self.chain_with(route, bucket, false)
+        owner_chain(route.service, bucket, base_data_centre(route, bucket), &self.members)
     }
 
-    /// Computes the chain of a bucket as it will be once all joining hosts serve.
+    /// Tells whether `member` may be in the chain of a bucket, whichever hosts come or go.
+    ///
+    /// Hosts that join together serve one after the other, so that each of them may be in the chain
+    /// of any bucket of its data centre for a moment.
     #[must_use]
-    pub fn upcoming_chain(&self, route: &ServiceRoute, bucket: BucketIndex) -> Option<OwnerChain> {
-        self.chain_with(route, bucket, true)
+    pub fn may_keep(
+        &self,
+        route: &ServiceRoute,
+        bucket: BucketIndex,
+        member: &RouteMember,
+    ) -> bool {
+        let data_centre = base_data_centre(route, bucket);
+        let is_local = |other: &RouteMember| Some(other.data_centre) == data_centre;
+        let served = |other: &&RouteMember| other.role == OwnerRole::Eligible && is_local(other);
+        is_local(member) || !self.members.iter().any(|other| served(&other))
     }
 
     /// Tells whether any host is about to serve.
@@ -115,17 +126,6 @@
         self.members.iter().any(|member| member.role == OwnerRole::Upcoming)
     }
 
-    fn chain_with(
-        &self,
-        route: &ServiceRoute,
-        bucket: BucketIndex,
-        upcoming: bool,
-    ) -> Option<OwnerChain> {
-        let base = route.table.slot(bucket).base;
-        let data_centre = route.upstream(base).map(|upstream| upstream.data_centre);
-        owner_chain(route.service, bucket, data_centre, &self.members, upcoming)
-    }
-
     /// Returns the address of a live host.
     #[must_use]
     pub fn host_address(&self, host: HostId) -> Option<Ipv4Addr> {
@@ -133,6 +133,11 @@
     }
 }
 
+fn base_data_centre(route: &ServiceRoute, bucket: BucketIndex) -> Option<DataCentreId> {
+    let base = route.table.slot(bucket).base;
+    route.upstream(base).map(|upstream| upstream.data_centre)
+}
+
 /// `SnapshotInputs` is what a snapshot is built from.
 #[derive(Debug, Clone, Copy)]
 pub struct SnapshotInputs<'a> {
--- a/crates/mustardgrade-core/src/membership/controller.rs
+++ b/crates/mustardgrade-core/src/membership/controller.rs
@@ -7,9 +7,7 @@
 
 use super::digest::{HostDigest, HostState};
 use super::member::{ListedHost, MemberOptions, MemberTable};
-use crate::flow::{
-    PlacementMode, RouteMember, RoutingSnapshot, SnapshotInputs, build_snapshot,
-};
+use crate::flow::{PlacementMode, RouteMember, RoutingSnapshot, SnapshotInputs, build_snapshot};
 use crate::identity::{DataCentreId, HostId, HostIncarnation, ServiceId, rendezvous_order};
 use crate::placement::{
     BucketIndex, BucketPhase, EchoState, PlacementBook, PlacementPlanner, PlannerOptions,
@@ -158,8 +156,9 @@
 /// `JoinStep` is how far a starting host has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum JoinStep {
+    Out,
     Configuration,
-    Exceptions,
+    Exceptions(Duration),
     Views(Duration),
     Records,
     Done,
@@ -388,7 +387,15 @@
             return;
         }
         self.last_fetch = None;
-        self.members.set_out(rules.book.out_data_centres());
+        let out = rules.book.out_data_centres();
+        if out.contains(&self.options.data_centre) {
+            // Moves pass this host by while its data centre is out, so it joins anew afterwards.
+            self.join = JoinStep::Out;
+            self.exceptions_complete = false;
+        } else if self.join == JoinStep::Out {
+            self.join = JoinStep::Configuration;
+        }
+        self.members.set_out(out);
         self.rules = Some(rules);
         self.dirty = true;
     }
@@ -401,9 +408,10 @@
         self.last_fetch = None;
         self.check_exceptions(&placement);
         self.planner.observe(&placement, now);
-        self.is_settling = placement.tables.iter().any(|table| {
-            table.slots.iter().any(|slot| slot.phase == BucketPhase::Settling)
-        });
+        self.is_settling = placement
+            .tables
+            .iter()
+            .any(|table| table.slots.iter().any(|slot| slot.phase == BucketPhase::Settling));
         self.placement = placement;
         self.wanted_since = None;
         self.dirty = true;
@@ -435,7 +443,7 @@
     fn take_exceptions(&mut self, generation: u64) {
         if generation >= self.placement.generation {
             self.exceptions_complete = true;
-            if self.join == JoinStep::Exceptions {
+            if matches!(self.join, JoinStep::Exceptions(_)) {
                 self.join = JoinStep::Views(self.members.active_time());
             }
         }
@@ -480,7 +488,7 @@
         let waited = self.last_fetch.is_none_or(|last| now >= last + FETCH_RETRY);
         match self.join {
             JoinStep::Configuration => self.join_configuration(now, waited, out),
-            JoinStep::Exceptions => self.join_exceptions(now, waited, out),
+            JoinStep::Exceptions(since) => self.join_exceptions(since, now, waited, out),
             JoinStep::Views(since) => {
                 let view = self.digest().view;
                 let active = self.members.active_time();
@@ -497,7 +505,7 @@
                 self.last_fetch = Some(now);
                 out.push(ControllerOutput::FetchRecords(self.peer_addresses()));
             }
-            JoinStep::Records | JoinStep::Done => {}
+            JoinStep::Out | JoinStep::Records | JoinStep::Done => {}
         }
         if self.join == JoinStep::Done && !self.exceptions_complete && waited {
             self.last_fetch = Some(now);
@@ -507,7 +515,7 @@
 
     fn join_configuration(&mut self, now: Duration, waited: bool, out: &mut Vec<ControllerOutput>) {
         if self.rules.is_some() && self.placement.generation > 0 {
-            self.join = JoinStep::Exceptions;
+            self.join = JoinStep::Exceptions(self.members.active_time());
             self.last_fetch = None;
             return;
         }
@@ -531,12 +539,18 @@
         }
     }
 
-    fn join_exceptions(&mut self, now: Duration, waited: bool, out: &mut Vec<ControllerOutput>) {
-        let serving = self.serving_peer();
-        if serving.is_none() && self.members.active_time() > self.options.members.dead_after {
+    fn join_exceptions(
+        &mut self,
+        since: Duration,
+        now: Duration,
+        waited: bool,
+        out: &mut Vec<ControllerOutput>,
+    ) {
+        let active = self.members.active_time();
+        if self.serving_peer().is_none() && active > since + self.options.members.dead_after {
             // Nobody serves yet, so there are no exceptions to miss.
             self.exceptions_complete = true;
-            self.join = JoinStep::Views(self.members.active_time());
+            self.join = JoinStep::Views(active);
             self.update_settled();
             return;
         }
@@ -713,8 +727,7 @@
         self.last_plan = now;
         let own = self.digest();
         let Some(rules) = &self.rules else { return };
-        let inputs =
-            PlanInputs { revision: rules.revision, generation: self.placement.generation };
+        let inputs = PlanInputs { revision: rules.revision, generation: self.placement.generation };
         if self.idle_plan == Some(inputs) {
             return;
         }
