Add the operator command and the stand-ins as processes

Cause: operators need to check, diff, apply, see status and have flows explained; the parts must run as processes of their own.

--- /dev/null
+++ b/crates/mustardgrade-cli/src/commands/explain/tests.rs
@@ -0,0 +1,40 @@
+//! Tests of the explanation.
+
+use expect_test::expect;
+use mustardgrade::core::placement::{BucketPhase, BucketSlot, PlacementTable};
+use mustardgrade::core::rule::parse_rules;
+
+use super::*;
+
+#[test]
+fn a_collecting_bucket_is_explained() {
+    let rules = parse_rules(
+        "data-centre lac in  # ops\n\
+         service desk 203.0.113.10:443 class=flow tenant=bureau  # amel\n\
+         upstream desk-1 service=desk at=127.0.0.9 data-centre=lac slots=4 state=draining # amel\n\
+         upstream desk-2 service=desk at=127.0.0.8 data-centre=lac slots=4  # amel\n",
+    )
+    .expect("the rules are valid");
+    let slot = BucketSlot { base: 0, current: 1, phase: BucketPhase::Collecting };
+    let table = PlacementTable {
+        service: rules.services[0].id(),
+        upstreams: rules.upstreams.iter().map(|rule| rule.id()).collect(),
+        slots: vec![slot; 256],
+    };
+    let book = PlacementBook { generation: 7, rules_revision: 3, tables: vec![table] };
+    let key = FlowKey {
+        caller: "192.0.2.7:40000".parse().expect("the address is valid"),
+        service: "203.0.113.10:443".parse().expect("the address is valid"),
+    };
+    let text = explain_flow(&rules, &book, key, 7).expect("the flow can be explained");
+    expect![[r#"
+        flow         192.0.2.7:40000>203.0.113.10:443
+        service      desk (tenant bureau)
+        fingerprint  c9188c1ff0ede54a
+        bucket       31 of 256
+        generation   7
+        phase        collecting
+        new flow     desk-2 (serving)
+        old flow     desk-1 (draining) unless recorded otherwise
+    "#]].assert_eq(&text);
+}
--- /dev/null
+++ b/crates/mustardgrade-cli/src/commands/rules.rs
@@ -0,0 +1,83 @@
+//! `mustardgrade check`, `diff` and `history`.
+
+use std::path::PathBuf;
+
+use argh::FromArgs;
+use mustardgrade::core::rule::diff_rules;
+
+use super::{EXIT_FOUND, Result, block_on, load_rules, open_store, read_held};
+
+/// Checks a rules file; exit code 2 with line and column if it is wrong.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "check")]
+pub struct CheckCommand {
+    /// rules file
+    #[argh(positional)]
+    rules: PathBuf,
+}
+
+/// Shows what a rules file would change; exit code 1 if it changes anything.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "diff")]
+pub struct DiffCommand {
+    /// rules file
+    #[argh(positional)]
+    rules: PathBuf,
+    /// URL of the store
+    #[argh(option)]
+    store: String,
+    /// file with the token for the store
+    #[argh(option)]
+    token_file: Option<PathBuf>,
+}
+
+/// Shows the revision that the store holds, and its recent edits.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "history")]
+pub struct HistoryCommand {
+    /// URL of the store
+    #[argh(option)]
+    store: String,
+    /// file with the token for the store
+    #[argh(option)]
+    token_file: Option<PathBuf>,
+}
+
+/// Runs `check`.
+pub fn run_check(command: &CheckCommand) -> Result<u8> {
+    let book = load_rules(&command.rules)?;
+    println!(
+        "{}: {} data centres, {} services, {} upstreams",
+        command.rules.display(),
+        book.data_centres.len(),
+        book.services.len(),
+        book.upstreams.len()
+    );
+    Ok(0)
+}
+
+/// Runs `diff`.
+pub fn run_diff(command: &DiffCommand) -> Result<u8> {
+    let book = load_rules(&command.rules)?;
+    let store = open_store(&command.store, command.token_file.as_deref())?;
+    let held = block_on(read_held(&store))?;
+    let difference = diff_rules(&held.book()?, &book);
+    print!("{difference}");
+    Ok(if difference.changes.is_empty() { 0 } else { EXIT_FOUND })
+}
+
+/// Runs `history`.
+pub fn run_history(command: &HistoryCommand) -> Result<u8> {
+    let store = open_store(&command.store, command.token_file.as_deref())?;
+    let held = block_on(read_held(&store))?;
+    let Some(document) = held.document else {
+        println!("the store holds no rules");
+        return Ok(0);
+    };
+    println!("revision {} by edit {:016x}", document.revision, document.edit);
+    for (age, edit) in document.recent_edits.iter().enumerate() {
+        let revision = document.revision.saturating_sub(age as u64);
+        println!("  {revision:>6}  {edit:016x}");
+    }
+    Ok(0)
+}
--- /dev/null
+++ b/crates/mustardgrade-cli/src/commands/status/tests.rs
@@ -0,0 +1,33 @@
+//! Tests of the status table.
+
+use expect_test::expect;
+
+use super::*;
+
+#[test]
+fn the_table_shows_hosts_that_are_behind_or_silent() {
+    let answer = HostAnswer {
+        host: Some("tunis-lac-1".to_owned()),
+        data_centre: Some("tunis-lac".to_owned()),
+        state: Some("serving".to_owned()),
+        rules_revision: Some(6),
+        generation: Some(12),
+        guarded_buckets: Some(293),
+        live_hosts: Some(15),
+        address: None,
+    };
+    let statuses = [
+        HostStatus {
+            address: Ipv4Addr::new(127, 0, 2, 1),
+            rules_revision: Some(6),
+            answer: Some(answer),
+        },
+        HostStatus { address: Ipv4Addr::new(127, 0, 2, 2), rules_revision: None, answer: None },
+    ];
+    expect![[r#"
+        accepted revision 7
+        host               address          data centre    state     revision generation guarded  live
+        tunis-lac-1        127.0.2.1        tunis-lac      serving          6         12     293    15
+        -                  127.0.2.2        does not answer
+    "#]].assert_eq(&status_table(7, &statuses));
+}
--- a/crates/mustardgrade-cli/src/commands/trial.rs
+++ b/crates/mustardgrade-cli/src/commands/trial.rs
@@ -1,18 +1,20 @@
 //! `mustardgrade try`.
 
 use std::path::PathBuf;
-use std::process::ExitCode;
 
 use argh::FromArgs;
 use indicatif::{ProgressBar, ProgressStyle};
 use mustardgrade::core::flow::PlacementMode;
 use mustardgrade_standin::trial::{TrialOptions, TrialReport, TrialStage, run_trial};
 
-use super::{EXIT_FAILED, EXIT_INPUT};
+use super::{CommandError, EXIT_FOUND, Result};
 
 /// Rules that are tried unless others are named.
 const DEFAULT_RULES: &str = include_str!("../../../../examples/tunis.rules");
 
+/// Second byte of the trial's loopback addresses.
+const NETWORK: u8 = 77;
+
 /// Feeds that are held open unless another number is given.
 const DEFAULT_FEEDS: usize = 280;
 
@@ -35,40 +37,34 @@
     json: bool,
 }
 
-/// Runs the command; the exit code is 1 if a promise broke.
-pub fn run_try(command: &TryCommand) -> ExitCode {
+/// Runs `try`; the exit code is 1 if a promise broke.
+pub fn run_try(command: &TryCommand) -> Result<u8> {
     let placement = match command.placement.as_str() {
         "guarded" => PlacementMode::Guarded,
         "computed" => PlacementMode::Computed,
         other => {
-            eprintln!("mustardgrade: placement is '{other}', expected 'guarded' or 'computed'");
-            return ExitCode::from(EXIT_INPUT);
+            let cause = format!("placement is '{other}', expected 'guarded' or 'computed'");
+            return Err(CommandError::input(cause));
         }
     };
     let rules = match &command.rules {
         None => DEFAULT_RULES.to_owned(),
-        Some(path) => match std::fs::read_to_string(path) {
-            Ok(text) => text,
-            Err(error) => {
-                eprintln!("mustardgrade: {}: {error}", path.display());
-                return ExitCode::from(EXIT_INPUT);
-            }
-        },
+        Some(path) => std::fs::read_to_string(path)
+            .map_err(|error| CommandError::input(format!("{}: {error}", path.display())))?,
     };
-    let options = TrialOptions { rules, placement, feeds: command.feeds, network: 77 };
-    match carry_out(&options, command.json) {
-        Ok(report) => finish(&report, command.json),
-        Err(error) => {
-            eprintln!("mustardgrade: {error}");
-            ExitCode::from(EXIT_FAILED)
-        }
+    let options = TrialOptions { rules, placement, feeds: command.feeds, network: NETWORK };
+    let report = carry_out(&options, command.json).map_err(CommandError::failed)?;
+    match command.json {
+        true => println!("{}", serde_json::json!(report)),
+        false => print!("{report}"),
     }
+    Ok(if report.is_kept() { 0 } else { EXIT_FOUND })
 }
 
 fn carry_out(
     options: &TrialOptions,
     quiet: bool,
-) -> Result<TrialReport, Box<dyn std::error::Error>> {
+) -> std::result::Result<TrialReport, Box<dyn std::error::Error>> {
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
     let bar = match quiet {
         true => ProgressBar::hidden(),
@@ -83,14 +79,3 @@
     bar.finish_and_clear();
     Ok(report)
 }
-
-fn finish(report: &TrialReport, json: bool) -> ExitCode {
-    match json {
-        true => println!("{}", serde_json::json!(report)),
-        false => print!("{report}"),
-    }
-    match report.is_kept() {
-        true => ExitCode::SUCCESS,
-        false => ExitCode::FAILURE,
-    }
-}
--- a/crates/mustardgrade-cli/src/main.rs
+++ b/crates/mustardgrade-cli/src/main.rs
@@ -5,7 +5,10 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
-use commands::TryCommand;
+use commands::{
+    ApplyCommand, CheckCommand, DiffCommand, ExplainCommand, HistoryCommand, StatusCommand,
+    TryCommand,
+};
 
 /// Operates mustardgrade.
 #[derive(Debug, FromArgs)]
@@ -18,13 +21,32 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 enum OperatorCommand {
+    Apply(ApplyCommand),
+    Check(CheckCommand),
+    Diff(DiffCommand),
+    Explain(ExplainCommand),
+    History(HistoryCommand),
+    Status(StatusCommand),
     Try(TryCommand),
 }
 
 fn main() -> ExitCode {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("error")).init();
     let arguments: OperatorArguments = argh::from_env();
-    match arguments.command {
+    let outcome = match arguments.command {
+        OperatorCommand::Apply(command) => commands::run_apply(&command),
+        OperatorCommand::Check(command) => commands::run_check(&command),
+        OperatorCommand::Diff(command) => commands::run_diff(&command),
+        OperatorCommand::Explain(command) => commands::run_explain(&command),
+        OperatorCommand::History(command) => commands::run_history(&command),
+        OperatorCommand::Status(command) => commands::run_status(&command),
         OperatorCommand::Try(command) => commands::run_try(&command),
+    };
+    match outcome {
+        Ok(code) => ExitCode::from(code),
+        Err(error) => {
+            eprintln!("mustardgrade: {error}");
+            ExitCode::from(error.code)
+        }
     }
 }
--- /dev/null
+++ b/crates/mustardgrade-core/src/rule/merge.rs
@@ -0,0 +1,87 @@
+//! Merging of concurrent edits.
+
+use std::collections::BTreeSet;
+
+use derive_more::Display;
+
+use super::grammar::parse_rules;
+use super::model::RuleBook;
+
+/// `RuleConflict` shows a rule that two edits changed differently.
+#[derive(Debug, Display, Clone, PartialEq, Eq)]
+#[display("rule '{key}' was changed by another edit\n  theirs: {theirs}\n  yours:  {yours}")]
+pub struct RuleConflict {
+    /// Kind and name of the rule.
+    pub key: String,
+    /// The rule as the other edit left it; empty if it removed it.
+    pub theirs: String,
+    /// The rule as this edit wants it; empty if it removes it.
+    pub yours: String,
+}
+
+/// `MergeOutcome` is what became of two edits.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum MergeOutcome {
+    /// The edits changed different rules: both are in.
+    Merged(RuleBook),
+    /// The edits changed the same rule.
+    Conflict(RuleConflict),
+}
+
+/// Merges the edit from `base` to `yours` into `theirs`, which came from `base` by other edits.
+///
+/// # Panics
+///
+/// Never panics: lines that were written from rules can be read again.
+#[must_use]
+pub fn merge_rules(base: &RuleBook, theirs: &RuleBook, yours: &RuleBook) -> MergeOutcome {
+    let texts = [base.to_text(), theirs.to_text(), yours.to_text()];
+    let [base, theirs, yours] = texts.each_ref().map(|text| keyed_lines(text));
+    let keys: BTreeSet<&str> = yours.iter().chain(&base).map(|line| line.key).collect();
+    let mut merged = theirs.clone();
+    for key in keys {
+        let [before, other, own] = [&base, &theirs, &yours].map(|lines| line_of(lines, key));
+        if own == before || own == other {
+            continue;
+        }
+        if other != before {
+            let text = |line: Option<&str>| line.unwrap_or_default().to_owned();
+            let key = key.to_owned();
+            let conflict = RuleConflict { key, theirs: text(other), yours: text(own) };
+            return MergeOutcome::Conflict(conflict);
+        }
+        merged.retain(|line| line.key != key);
+        merged.extend(own.map(|text| KeyedLine { key, text }));
+    }
+    let text: String = merged.iter().map(|line| format!("{}\n", line.text)).collect();
+    match parse_rules(&text) {
+        Ok(book) => MergeOutcome::Merged(book),
+        // Each edit is sound, but together they are not.
+        Err(error) => MergeOutcome::Conflict(RuleConflict {
+            key: "whole file".to_owned(),
+            theirs: String::new(),
+            yours: error.cause,
+        }),
+    }
+}
+
+/// `KeyedLine` is a rule as text, with its kind and name.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct KeyedLine<'a> {
+    key: &'a str,
+    text: &'a str,
+}
+
+fn keyed_lines(text: &str) -> Vec<KeyedLine<'_>> {
+    text.lines()
+        .map(|line| {
+            let ends = line.match_indices(' ').map(|(at, _)| at);
+            let key = &line[..ends.take(2).last().unwrap_or(line.len())];
+            KeyedLine { key, text: line }
+        })
+        .collect()
+}
+
+fn line_of<'a>(lines: &[KeyedLine<'a>], key: &str) -> Option<&'a str> {
+    lines.iter().find(|line| line.key == key).map(|line| line.text)
+}
--- a/crates/mustardgrade-core/src/rule/mod.rs
+++ b/crates/mustardgrade-core/src/rule/mod.rs
@@ -7,12 +7,14 @@
 mod diff;
 mod errors;
 mod grammar;
+mod merge;
 mod model;
 
 pub use check::{check_rules, nearest_word};
 pub use diff::{RuleChange, RuleDifference, diff_rules};
 pub use errors::{Result, RuleError, RulePlace};
 pub use grammar::parse_rules;
+pub use merge::{MergeOutcome, RuleConflict, merge_rules};
 pub use model::{
     DataCentreRule, DataCentreState, Requester, RuleBook, ServiceClass, ServiceRule, UpstreamRule,
     UpstreamState,
--- a/crates/mustardgrade-core/src/rule/tests.rs
+++ b/crates/mustardgrade-core/src/rule/tests.rs
@@ -3,7 +3,7 @@
 use expect_test::expect;
 use proptest::prelude::*;
 
-use super::{diff_rules, parse_rules};
+use super::{MergeOutcome, diff_rules, merge_rules, parse_rules};
 
 const SAMPLE: &str = "\
 data-centre lac in  # ops: opening
@@ -74,6 +74,38 @@
     .assert_eq(&difference);
 }
 
+fn merge(theirs: (&str, &str), yours: (&str, &str)) -> String {
+    let book = |(from, to): (&str, &str)| {
+        parse_rules(&SAMPLE.replace(from, to)).expect("the edit is valid")
+    };
+    match merge_rules(&book(("", "")), &book(theirs), &book(yours)) {
+        MergeOutcome::Merged(book) => book.to_text(),
+        MergeOutcome::Conflict(conflict) => conflict.to_string(),
+    }
+}
+
+#[test]
+fn edits_of_different_rules_merge_and_of_the_same_rule_do_not() {
+    let slots = ("slots=4", "slots=3");
+    let report = [
+        merge(slots, ("tenant=bureau", "tenant=league")),
+        merge(slots, ("slots=4", "slots=2")),
+        merge(slots, slots),
+    ];
+    expect![[r#"
+        data-centre lac in  # ops: opening
+        service desk 203.0.113.10:443 class=flow tenant=league  # amel: rounds
+        upstream desk-1 service=desk at=127.0.0.9 data-centre=lac slots=3 state=serving  # amel: rounds
+
+        rule 'upstream desk-1' was changed by another edit
+          theirs: upstream desk-1 service=desk at=127.0.0.9 data-centre=lac slots=3 state=serving  # amel: rounds
+          yours:  upstream desk-1 service=desk at=127.0.0.9 data-centre=lac slots=2 state=serving  # amel: rounds
+        data-centre lac in  # ops: opening
+        service desk 203.0.113.10:443 class=flow tenant=bureau  # amel: rounds
+        upstream desk-1 service=desk at=127.0.0.9 data-centre=lac slots=3 state=serving  # amel: rounds
+    "#]].assert_eq(&report.join("\n"));
+}
+
 proptest! {
     #[test]
     fn any_text_is_accepted_or_refused_with_a_place(text in "[a-z0-9=#. :\n-]{0,200}") {
--- a/crates/mustardgrade-node/src/host/mod.rs
+++ b/crates/mustardgrade-node/src/host/mod.rs
@@ -205,7 +205,8 @@
 }
 
 /// Derives the fingerprint seed, so that callers cannot aim flows at one bucket.
-fn fingerprint_seed(secret: &[u8]) -> u64 {
+#[must_use]
+pub fn fingerprint_seed(secret: &[u8]) -> u64 {
     let mut context = b"mustardgrade 2026 flow fingerprint".to_vec();
     context.extend_from_slice(secret);
     HostId::from_name(&String::from_utf8_lossy(&context)).0
--- a/crates/mustardgrade-node/src/settings/tests.rs
+++ b/crates/mustardgrade-node/src/settings/tests.rs
@@ -39,7 +39,7 @@
 
 #[test]
 fn good_settings_are_read() {
-    expect!["host.ini:10: 'secret_file': secret is shorter than 16 bytes"].assert_eq(&load(SAMPLE));
+    expect!["medina-1 127.0.1.1 [127.0.1.2, 127.0.2.1]"].assert_eq(&load(SAMPLE));
 }
 
 #[test]
--- a/crates/mustardgrade-node/src/store/client.rs
+++ b/crates/mustardgrade-node/src/store/client.rs
@@ -8,6 +8,7 @@
 use mustardgrade_core::identity::{DataCentreId, HostId};
 use mustardgrade_core::membership::ListedHost;
 use serde::Deserialize;
+use serde::de::DeserializeOwned;
 
 use super::errors::{Result, StoreError};
 
@@ -133,6 +134,22 @@
         Ok(listed.collect())
     }
 
+    /// Reads a JSON page of a host; the platform's token is not sent.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the host does not answer or the answer cannot be read.
+    pub async fn fetch_json<T: DeserializeOwned>(
+        &self,
+        address: Ipv4Addr,
+        port: u16,
+        page: &str,
+    ) -> Result<T> {
+        let url = format!("http://{address}:{port}/{page}");
+        let response = checked(self.http.get(url).timeout(CALL_TIMEOUT).send().await?)?;
+        Ok(response.json().await?)
+    }
+
     async fn get(
         &self,
         key: &str,
--- /dev/null
+++ b/crates/mustardgrade-standin/src/bin/mustardgrade-standin.rs
@@ -0,0 +1,213 @@
+//! Stand-ins of platform, fabric, upstreams and callers, each as a process of its own.
+
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::process::ExitCode;
+use std::time::Duration;
+
+use argh::FromArgs;
+use mustardgrade_node::settings::PortSettings;
+use mustardgrade_node::store::StoreClient;
+use mustardgrade_standin::caller::{FlowCallerSettings, caller_address, start_flow_callers};
+use mustardgrade_standin::fabric::{FabricStandin, start_fabric};
+use mustardgrade_standin::platform::{ListedEntry, start_platform};
+use mustardgrade_standin::upstream::{ServiceCurve, UpstreamSettings, start_upstream};
+
+/// Time between two looks of the fabric at the platform's list.
+const LIST_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time between two lines of a stand-in that reports.
+const REPORT_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Stand-ins for trying mustardgrade's processes over loopback.
+#[derive(Debug, FromArgs)]
+struct StandinArguments {
+    #[argh(subcommand)]
+    command: StandinCommand,
+}
+
+/// `StandinCommand` is one of the subcommands.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum StandinCommand {
+    Platform(PlatformCommand),
+    Fabric(FabricCommand),
+    Upstream(UpstreamCommand),
+    Caller(CallerCommand),
+}
+
+/// Runs the platform: key-value store and list of hosts.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "platform")]
+struct PlatformCommand {
+    /// address to serve HTTP on
+    #[argh(option)]
+    address: SocketAddr,
+    /// entry host to list, as name,address,data-centre; may be given several times
+    #[argh(option, from_str_fn(parse_host))]
+    host: Vec<ListedEntry>,
+}
+
+/// Runs the fabric: hands every packet to a random host of the platform's list.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "fabric")]
+struct FabricCommand {
+    /// address to take packets on
+    #[argh(option)]
+    address: SocketAddrV4,
+    /// URL of the platform
+    #[argh(option)]
+    platform: String,
+}
+
+/// Runs an upstream.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "upstream")]
+struct UpstreamCommand {
+    /// name that the upstream greets callers with
+    #[argh(option)]
+    name: String,
+    /// address of the upstream
+    #[argh(option)]
+    address: Ipv4Addr,
+    /// address of the flow service that it serves
+    #[argh(option)]
+    flow_service: Option<SocketAddrV4>,
+    /// requests that it serves at a time; none unless given
+    #[argh(option)]
+    slots: Option<usize>,
+    /// the fabric
+    #[argh(option)]
+    fabric: SocketAddrV4,
+}
+
+/// Runs callers that hold feeds open and check every byte.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "caller")]
+struct CallerCommand {
+    /// address to take packets on
+    #[argh(option)]
+    socket: SocketAddrV4,
+    /// the fabric
+    #[argh(option)]
+    fabric: SocketAddrV4,
+    /// address of the flow service
+    #[argh(option)]
+    service: SocketAddrV4,
+    /// feeds that are held open
+    #[argh(option, default = "20")]
+    feeds: usize,
+}
+
+fn parse_host(text: &str) -> Result<ListedEntry, String> {
+    let parts: Vec<&str> = text.split(',').collect();
+    let [name, address, data_centre] = parts.as_slice() else {
+        return Err("expected name,address,data-centre".to_owned());
+    };
+    let address = address.parse().map_err(|_cause| format!("'{address}' is no IPv4 address"))?;
+    Ok(ListedEntry {
+        name: (*name).to_owned(),
+        address,
+        data_centre: (*data_centre).to_owned(),
+        leaving: false,
+    })
+}
+
+fn main() -> ExitCode {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    let arguments: StandinArguments = argh::from_env();
+    match run(arguments.command) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("mustardgrade-standin: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(command: StandinCommand) -> Result<(), Box<dyn std::error::Error>> {
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    runtime.block_on(async {
+        let work = async {
+            match command {
+                StandinCommand::Platform(command) => run_platform(command).await,
+                StandinCommand::Fabric(command) => run_fabric(&command).await,
+                StandinCommand::Upstream(command) => run_upstream(command).await,
+                StandinCommand::Caller(command) => run_caller(&command).await,
+            }
+        };
+        let mut terminate =
+            tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())?;
+        tokio::select! {
+            outcome = work => outcome,
+            _ = terminate.recv() => Ok(()),
+            _ = tokio::signal::ctrl_c() => Ok(()),
+        }
+    })
+}
+
+async fn run_platform(command: PlatformCommand) -> Result<(), Box<dyn std::error::Error>> {
+    let standin = start_platform(command.address).await?;
+    for host in command.host {
+        standin.list_host(host);
+    }
+    println!("platform on http://{}", command.address);
+    std::future::pending().await
+}
+
+async fn run_fabric(command: &FabricCommand) -> Result<(), Box<dyn std::error::Error>> {
+    let fabric = start_fabric(command.address)?;
+    let store = StoreClient::new(&command.platform, None)?;
+    println!("fabric on {}", command.address);
+    loop {
+        refresh_fabric(&fabric, &store).await;
+        tokio::time::sleep(LIST_INTERVAL).await;
+    }
+}
+
+async fn refresh_fabric(fabric: &FabricStandin, store: &StoreClient) {
+    let Ok(listed) = store.hosts().await else { return };
+    let gue = PortSettings::default().gue;
+    let serving = listed.into_iter().filter(|host| !host.leaving);
+    fabric.set_hosts(serving.map(|host| SocketAddrV4::new(host.address, gue)).collect());
+}
+
+async fn run_upstream(command: UpstreamCommand) -> Result<(), Box<dyn std::error::Error>> {
+    let requests = command.slots.map(|slots| ServiceCurve {
+        slots,
+        service_time: Duration::from_millis(30),
+        cold_requests: 20,
+    });
+    let upstream = start_upstream(UpstreamSettings {
+        name: command.name,
+        address: command.address,
+        flow_service: command.flow_service,
+        requests,
+        fabric_return: command.fabric,
+        ports: PortSettings::default(),
+    })?;
+    println!("upstream {} on {}", upstream.settings().name, command.address);
+    loop {
+        tokio::time::sleep(REPORT_INTERVAL).await;
+        let report = upstream.report();
+        log::info!(
+            open = report.open_connections,
+            opened = report.opened,
+            wrong_service = report.wrong_service;
+            "upstream"
+        );
+    }
+}
+
+async fn run_caller(command: &CallerCommand) -> Result<(), Box<dyn std::error::Error>> {
+    let callers = start_flow_callers(FlowCallerSettings {
+        caller: caller_address(1),
+        socket: command.socket,
+        fabric: command.fabric,
+        service: command.service,
+        feeds: command.feeds,
+    })?;
+    loop {
+        tokio::time::sleep(REPORT_INTERVAL).await;
+        println!("{}", serde_json::to_string(&callers.report())?);
+    }
+}
