--- a/crates/mustardgrade-cli/src/commands/explain/tests.rs
+++ b/crates/mustardgrade-cli/src/commands/explain/tests.rs
@@ -36,5 +36,6 @@
         phase        collecting
         new flow     desk-2 (serving)
         old flow     desk-1 (draining) unless recorded otherwise
-    "#]].assert_eq(&text);
+    "#]]
+    .assert_eq(&text);
 }
--- a/crates/mustardgrade-core/src/flow/snapshot.rs
+++ b/crates/mustardgrade-core/src/flow/snapshot.rs
@@ -55,6 +55,8 @@
 pub struct ServiceRoute {
     /// The service.
     pub service: ServiceId,
+    /// The tenant that its packets are counted under.
+    pub tenant: String,
     /// Its placement, with guards added for upstreams that the rules take out of new work.
     pub table: PlacementTable,
     /// One route for each upstream of the table.
@@ -193,7 +195,7 @@
             table.slots[bucket] = effective_slot(slot, bucket, &upstreams, inputs.rules_echoed);
         }
     }
-    ServiceRoute { service: service.id(), table, upstreams }
+    ServiceRoute { service: service.id(), tenant: service.tenant.clone(), table, upstreams }
 }
 
 fn upstream_route(rules: &RuleBook, service: &ServiceRule, upstream: UpstreamId) -> UpstreamRoute {
--- a/crates/mustardgrade-node/src/calls/mod.rs
+++ b/crates/mustardgrade-node/src/calls/mod.rs
@@ -12,6 +12,8 @@
 use thiserror::Error;
 use tokio::sync::{mpsc, oneshot};
 
+use crate::metrics::{ByteKind, HostMetrics};
+
 /// Time after which a call is given up; a host that is alive answers in milliseconds.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -64,14 +66,20 @@
     port: u16,
     sealer: Arc<Mutex<FrameSealer>>,
     keys: FleetKeys,
+    metrics: Arc<HostMetrics>,
 }
 
 impl CallClient {
     /// Creates the client of a host.
     #[must_use]
-    pub fn new(me: HostIncarnation, keys: &FleetKeys, port: u16) -> Self {
+    pub fn new(
+        me: HostIncarnation,
+        keys: &FleetKeys,
+        port: u16,
+        metrics: Arc<HostMetrics>,
+    ) -> Self {
         let sealer = FrameSealer::new(me, CALL_CHANNEL, keys.clone());
-        Self { port, sealer: Arc::new(Mutex::new(sealer)), keys: keys.clone() }
+        Self { port, sealer: Arc::new(Mutex::new(sealer)), keys: keys.clone(), metrics }
     }
 
     /// Calls the host at `address`.
@@ -81,6 +89,7 @@
     /// Fails if the host does not answer in time or the reply is not authentic.
     pub async fn call(&self, address: Ipv4Addr, call: &PeerCall) -> Result<PeerReply> {
         let frame = seal(&self.sealer, call);
+        self.metrics.count_bytes(ByteKind::ControlSent, frame.len());
         let reply = tokio::time::timeout(CALL_TIMEOUT, self.exchange(address, frame))
             .await
             .map_err(|_elapsed| CallError::Unreachable("timeout".to_owned()))??;
@@ -107,6 +116,7 @@
 struct CallServer {
     opener: Arc<Mutex<FrameOpener>>,
     sealer: Arc<Mutex<FrameSealer>>,
+    metrics: Arc<HostMetrics>,
     calls: mpsc::Sender<IncomingCall>,
 }
 
@@ -122,7 +132,9 @@
             return seal(&self.sealer, &PeerReply::Declined);
         }
         let answer = waiting.await.unwrap_or(PeerReply::Declined);
-        seal(&self.sealer, &answer)
+        let frame = seal(&self.sealer, &answer);
+        self.metrics.count_bytes(ByteKind::ControlSent, frame.len());
+        frame
     }
 }
 
@@ -135,6 +147,7 @@
     address: SocketAddr,
     me: HostIncarnation,
     keys: FleetKeys,
+    metrics: Arc<HostMetrics>,
     calls: mpsc::Sender<IncomingCall>,
 ) -> std::io::Result<impl Future<Output = ()>> {
     let mut listener = tarpc::serde_transport::tcp::listen(address, Bincode::default).await?;
@@ -142,6 +155,7 @@
     let server = CallServer {
         opener: Arc::new(Mutex::new(FrameOpener::new(keys.clone()))),
         sealer: Arc::new(Mutex::new(FrameSealer::new(me, REPLY_CHANNEL, keys))),
+        metrics,
         calls,
     };
     Ok(listener.filter_map(|transport| std::future::ready(transport.ok())).for_each(
--- a/crates/mustardgrade-node/src/control/tasks.rs
+++ b/crates/mustardgrade-node/src/control/tasks.rs
@@ -195,10 +195,11 @@
     address: SocketAddr,
     me: HostIncarnation,
     keys: FleetKeys,
+    metrics: Arc<HostMetrics>,
     lanes: Vec<mpsc::Sender<LaneCommand>>,
 ) -> std::io::Result<()> {
     let (sender, mut receiver) = mpsc::channel::<IncomingCall>(CALL_QUEUE);
-    let server = serve_calls(address, me, keys, sender).await?;
+    let server = serve_calls(address, me, keys, metrics, sender).await?;
     tokio::spawn(server);
     tokio::spawn(async move {
         while let Some(incoming) = receiver.recv().await {
--- a/crates/mustardgrade-node/src/host/mod.rs
+++ b/crates/mustardgrade-node/src/host/mod.rs
@@ -273,7 +273,7 @@
         let ports = self.settings.ports;
         let keys = self.settings.keys.clone();
         let socket = Arc::new(bind_udp(address, ports.peer)?);
-        let calls = CallClient::new(self.me, &keys, ports.call);
+        let calls = CallClient::new(self.me, &keys, ports.call, Arc::clone(&self.metrics));
         let store =
             StoreClient::new(&self.settings.platform_url, self.settings.platform_token.clone())?;
         let (watching, watching_seen) = watch::channel(false);
@@ -296,8 +296,15 @@
         let sealer = FrameSealer::new(self.me, 0, keys.clone());
         let actor = ControlActor::spawn(ControlActor::new(controller, links, sealer));
         let call_address = SocketAddr::from((address, ports.call));
-        spawn_call_server(actor.clone(), call_address, self.me, keys.clone(), self.commands)
-            .await?;
+        spawn_call_server(
+            actor.clone(),
+            call_address,
+            self.me,
+            keys.clone(),
+            Arc::clone(&self.metrics),
+            self.commands,
+        )
+        .await?;
         spawn_digest_reader(actor.clone(), socket, keys, Arc::clone(&self.metrics));
         spawn_store_watch(actor.clone(), store, Arc::clone(&self.metrics), watching_seen);
         spawn_transfers(self.transfers, calls, Arc::clone(&self.metrics), self.shared);
--- a/crates/mustardgrade-node/src/traffic/lane.rs
+++ b/crates/mustardgrade-node/src/traffic/lane.rs
@@ -17,13 +17,14 @@
 use mustardgrade_wire::gue;
 use mustardgrade_wire::inner::{InnerPacket, build_reset, parse_packet};
 use mustardgrade_wire::peer::{FleetKeys, FrameOpener, FrameSealer, PeerBody, ServiceRecordList};
+use prometheus_client::metrics::histogram::Histogram;
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, oneshot, watch};
 
 use super::shared::TrafficShared;
 use super::socket::{bind_udp, bind_udp_shared};
 use crate::clock::UnixClock;
-use crate::metrics::{ByteKind, HostMetrics};
+use crate::metrics::{ByteKind, HostMetrics, TrafficLabels};
 use crate::settings::PortSettings;
 
 /// Datagrams that are read before the thread looks at anything else; larger batches delay notes.
@@ -142,6 +143,7 @@
     sealer: FrameSealer,
     opener: FrameOpener,
     notes: Vec<PeerNote>,
+    sizes: HashMap<SocketAddrV4, Histogram>,
     scratch: Vec<u8>,
 }
 
@@ -161,6 +163,7 @@
             sealer: FrameSealer::new(settings.me, lane + 1, settings.keys.clone()),
             opener: FrameOpener::new(settings.keys.clone()),
             notes: Vec::new(),
+            sizes: HashMap::new(),
             scratch: Vec::with_capacity(MAX_DATAGRAM),
             settings,
             shared,
@@ -194,6 +197,7 @@
         if !Arc::ptr_eq(&snapshot, &self.installed) {
             self.installed = Arc::clone(&snapshot);
             self.router.install(Arc::clone(&snapshot));
+            self.sizes = size_histograms(&snapshot, &self.metrics);
         }
         self.router.set_heard(self.shared.heard.get());
     }
@@ -262,6 +266,9 @@
         match verdict {
             FlowVerdict::Tunnel { address, .. } => {
                 let to = SocketAddrV4::new(address, self.settings.ports.gue);
+                if let Some(sizes) = self.sizes.get(&segment.key.service) {
+                    sizes.observe(packet.len() as f64);
+                }
                 self.send_encapsulated(packet, to);
             }
             FlowVerdict::Hop { address, lane, header, .. } => {
@@ -375,3 +382,16 @@
         }
     }
 }
+
+/// Returns the size histogram of each service's tenant, so that packets need no look-up by name.
+fn size_histograms(
+    snapshot: &RoutingSnapshot,
+    metrics: &HostMetrics,
+) -> HashMap<SocketAddrV4, Histogram> {
+    let histogram = |tenant: &str| {
+        let labels = TrafficLabels { tenant: tenant.to_owned(), class: "flow".to_owned() };
+        metrics.packet_bytes.get_or_create_owned(&labels)
+    };
+    let addresses = snapshot.addresses.iter();
+    addresses.map(|(address, at)| (*address, histogram(&snapshot.services[*at].tenant))).collect()
+}
--- a/crates/mustardgrade-standin/src/bin/mustardgrade-measure.rs
+++ b/crates/mustardgrade-standin/src/bin/mustardgrade-measure.rs
@@ -4,7 +4,9 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
-use mustardgrade_standin::measure::{MeasureResult, SeedRange, compare_results, measure_scenario};
+use mustardgrade_standin::measure::{
+    MeasureResult, SeedRange, compare_results, measure_relay, measure_scenario,
+};
 use mustardgrade_standin::scenario::{Override, parse_scenario};
 
 /// Exit code of an input that cannot be used.
@@ -27,6 +29,7 @@
     Run(RunCommand),
     List(ListCommand),
     Compare(CompareCommand),
+    Relay(RelayCommand),
 }
 
 /// Runs a scenario and prints a line for each figure: name, value, unit, bound, verdict.
@@ -67,6 +70,15 @@
     second: PathBuf,
 }
 
+/// Compares packets a second through a traffic thread with those through a bare UDP relay.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "relay")]
+struct RelayCommand {
+    /// known flows
+    #[argh(option, default = "10000")]
+    flows: u32,
+}
+
 fn parse_seeds(text: &str) -> Result<SeedRange, String> {
     let (first, last) = text.split_once("..").ok_or("expected A..B")?;
     let number = |text: &str| text.parse::<u64>().map_err(|_cause| "expected A..B".to_owned());
@@ -89,6 +101,7 @@
         MeasureCommand::Run(command) => run(&command),
         MeasureCommand::List(_) => list(),
         MeasureCommand::Compare(command) => compare(&command),
+        MeasureCommand::Relay(command) => relay(&command),
     };
     match outcome {
         Ok(code) => code,
@@ -136,6 +149,14 @@
     Ok(ExitCode::SUCCESS)
 }
 
+fn relay(command: &RelayCommand) -> Result<ExitCode, String> {
+    let result = measure_relay(command.flows.max(1)).map_err(|error| error.to_string())?;
+    println!("bare_relay {:.0} packets/s", result.bare);
+    println!("traffic_thread {:.0} packets/s", result.host);
+    println!("ratio {:.3}", result.ratio);
+    Ok(ExitCode::SUCCESS)
+}
+
 fn read(path: &Path) -> Result<String, String> {
     std::fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))
 }
