Drive requests in virtual time; mend what they showed

Cause, found by the request scenarios: a fleet without flow services never served, as no first placement was published; limits climbed faster than a cold upstream bears (over_cold 224); requests were sent on with less patience than a service takes, so callers were left in doubt (unknown 137 without any failure); copies of a dispatch were shed by the fakes, which made 'not run' false (51); refusals of idempotent requests claimed more than a host can know. Change: first placement always published; limits climb after 8 answers and step down for lost ones; expiry looks at the expected service time; loads travel on replies; idempotent requests are tried elsewhere at half their patience; last words are sent twice; fakes ignore copies; 'busy' for idempotent refusals.

--- a/crates/mustardgrade-core/src/placement/planner.rs
+++ b/crates/mustardgrade-core/src/placement/planner.rs
@@ -118,7 +118,9 @@
             };
             next.tables.push(table);
         }
-        (next.tables != book.tables).then_some(next)
+        // The first generation is published even if no service needs a table: joining hosts wait
+        // for it.
+        (next.tables != book.tables || book.generation == 0).then_some(next)
     }
 
     #[expect(clippy::too_many_arguments, reason = "the inputs of one step of one table")]
--- a/crates/mustardgrade-core/src/request/keeper.rs
+++ b/crates/mustardgrade-core/src/request/keeper.rs
@@ -131,7 +131,9 @@
 
     /// Removes the requests whose callers will have given up before an answer.
     pub fn take_expired(&mut self, now: Duration) -> Vec<WaitingRequest> {
-        let latest = now + self.options.least_patience;
+        // An answer that may come after the deadline would leave its caller in doubt.
+        let expected = self.limit.expected().unwrap_or_default();
+        let latest = now + self.options.least_patience.max(expected * 2);
         let (expired, kept) =
             self.queue.drain(..).partition(|waiting: &WaitingRequest| waiting.deadline <= latest);
         self.queue = kept;
--- a/crates/mustardgrade-core/src/request/limit.rs
+++ b/crates/mustardgrade-core/src/request/limit.rs
@@ -11,18 +11,26 @@
     pub slow_floor: Duration,
     /// Weight of a new answer in the usual service time.
     pub smoothing: f64,
+    /// Answers in a row that raise the limit by one; fewer give a starting upstream more than it
+    /// bears.
+    pub climb_successes: u16,
 }
 
 impl Default for LimitOptions {
     fn default() -> Self {
-        Self { cold_factor: 3.0, slow_floor: Duration::from_millis(20), smoothing: 0.05 }
+        Self {
+            cold_factor: 3.0,
+            slow_floor: Duration::from_millis(20),
+            smoothing: 0.05,
+            climb_successes: 8,
+        }
     }
 }
 
 /// `AdaptiveLimit` bounds the requests in service at one upstream.
 ///
-/// It starts at 1, climbs by one for each full round of successes, and falls back to 1 when the
-/// upstream shows that it is cold again. What the keeper saw itself decides; reports do not.
+/// It starts at 1, climbs by one for each row of successes, steps down for an unanswered request,
+/// and falls back to 1 when the upstream shows that it is cold again. What the keeper saw itself decides; reports do not.
 #[derive(Debug, Clone)]
 pub struct AdaptiveLimit {
     options: LimitOptions,
@@ -30,13 +38,14 @@
     slots: u16,
     successes: u16,
     usual: Option<Duration>,
+    recent: Option<Duration>,
 }
 
 impl AdaptiveLimit {
     /// Creates the limit of an upstream with `slots` slots.
     #[must_use]
     pub fn new(slots: u16, options: LimitOptions) -> Self {
-        Self { options, limit: 1, slots: slots.max(1), successes: 0, usual: None }
+        Self { options, limit: 1, slots: slots.max(1), successes: 0, usual: None, recent: None }
     }
 
     /// Returns the number of requests that the upstream may serve now.
@@ -51,6 +60,12 @@
         self.usual
     }
 
+    /// Returns the service time that is to be expected now, once there has been an answer.
+    #[must_use]
+    pub fn expected(&self) -> Option<Duration> {
+        self.recent
+    }
+
     /// Changes the number of slots.
     pub fn set_slots(&mut self, slots: u16) {
         self.slots = slots.max(1);
@@ -64,6 +79,7 @@
 
     /// Takes in an answer that took `service_time`.
     pub fn succeed(&mut self, service_time: Duration) {
+        self.recent = Some(self.blend(self.recent, service_time));
         if self.is_slow(service_time) {
             self.collapse();
             return;
@@ -72,13 +88,19 @@
             self.learn_usual(service_time);
         }
         self.successes += 1;
-        if self.successes >= self.limit {
+        if self.successes >= self.options.climb_successes {
             self.successes = 0;
             self.limit = (self.limit + 1).min(self.slots);
         }
     }
 
-    /// Takes in a shed, failed or unanswered request.
+    /// Takes in an unanswered request, which the network may have lost.
+    pub fn step_down(&mut self) {
+        self.limit = (self.limit - 1).max(1);
+        self.successes = 0;
+    }
+
+    /// Takes in a shed or slow request.
     pub fn collapse(&mut self) {
         self.limit = 1;
         self.successes = 0;
@@ -93,13 +115,14 @@
     }
 
     fn learn_usual(&mut self, service_time: Duration) {
-        let usual = match self.usual {
-            Some(usual) => {
-                let weight = self.options.smoothing;
-                usual.mul_f64(1.0 - weight) + service_time.mul_f64(weight)
-            }
+        self.usual = Some(self.blend(self.usual, service_time));
+    }
+
+    fn blend(&self, known: Option<Duration>, service_time: Duration) -> Duration {
+        let weight = self.options.smoothing;
+        match known {
+            Some(known) => known.mul_f64(1.0 - weight) + service_time.mul_f64(weight),
             None => service_time,
-        };
-        self.usual = Some(usual);
+        }
     }
 }
--- a/crates/mustardgrade-core/src/request/message.rs
+++ b/crates/mustardgrade-core/src/request/message.rs
@@ -50,6 +50,13 @@
         /// Time after which the caller may try again.
         retry_after: Duration,
     },
+    /// There is no room for an idempotent request now.
+    ///
+    /// Nothing is said of earlier tries of it, which other hosts may have seen.
+    Busy {
+        /// Time after which the caller may try again.
+        retry_after: Duration,
+    },
     /// Nobody can tell whether the request ran.
     Unknown,
     /// The request cannot be served as it stands.
@@ -102,13 +109,15 @@
     Done {
         /// The request.
         id: RequestId,
+        /// What the sender keeps.
+        load: Option<TriedUpstream>,
     },
     /// The request did not run at the sender and will not; the origin may try elsewhere.
     Refused {
         /// The request.
         id: RequestId,
-        /// The upstream that refused.
-        upstream: UpstreamId,
+        /// The upstream that refused, with its load.
+        load: TriedUpstream,
     },
 }
 
--- a/crates/mustardgrade-core/src/request/router.rs
+++ b/crates/mustardgrade-core/src/request/router.rs
@@ -1,6 +1,7 @@
 //! The request router of one host.
 
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -73,6 +74,22 @@
     tries: u8,
 }
 
+/// `KnownLoad` is the load of an upstream as its keeper told it.
+#[derive(Debug, Clone, Copy)]
+struct KnownLoad {
+    load: u32,
+    at: Duration,
+}
+
+/// `LastWord` is a reply that is sent once more, since its caller will not ask again.
+#[derive(Debug)]
+struct LastWord {
+    at: Duration,
+    id: RequestId,
+    service: SocketAddrV4,
+    reply: CallerReply,
+}
+
 /// `RequestRouter` decides what happens to each request.
 ///
 /// It performs no I/O. Times are durations since the Unix epoch, since tickets carry an expiry.
@@ -84,6 +101,8 @@
     ledger: TicketLedger,
     pending: HashMap<RequestId, PendingRequest>,
     taken: HashMap<RequestId, Duration>,
+    loads: HashMap<UpstreamId, KnownLoad>,
+    last_words: Vec<LastWord>,
     next_exchange: u64,
     retry_credit: u32,
     random: ChaCha8Rng,
@@ -101,6 +120,16 @@
 /// upstream that is only slow would be given more than its limit.
 const ABANDONED_HOLD: Duration = Duration::from_secs(2);
 
+/// Life of what a keeper told of an upstream's load.
+const LOAD_LIFE: Duration = Duration::from_millis(500);
+
+/// Time after which a last word is sent once more.
+const LAST_WORD_AGAIN: Duration = Duration::from_millis(200);
+
+/// Times the usual service time after which an idempotent request is tried elsewhere; slow answers
+/// come sooner.
+const SILENT_FACTOR: u32 = 6;
+
 /// Tries of one request at different keepers.
 const MAX_TRIES: u8 = 3;
 
@@ -114,6 +143,8 @@
             ledger: TicketLedger::new(options.ledger_capacity),
             pending: HashMap::new(),
             taken: HashMap::new(),
+            loads: HashMap::new(),
+            last_words: Vec::new(),
             next_exchange: options.seed.wrapping_mul(0x9E37_79B9_7F4A_7C15),
             retry_credit: MAX_RETRY_CREDIT,
             random: ChaCha8Rng::seed_from_u64(options.seed),
@@ -160,11 +191,13 @@
         match input {
             RequestInput::Caller(request) => self.receive(request, now, out),
             RequestInput::Peer(KeeperMessage::Forward(forwarded)) => self.keep(forwarded, now, out),
-            RequestInput::Peer(KeeperMessage::Done { id }) => {
+            RequestInput::Peer(KeeperMessage::Done { id, load }) => {
                 self.pending.remove(&id);
+                self.note_load(load, now);
             }
-            RequestInput::Peer(KeeperMessage::Refused { id, upstream }) => {
-                self.retry_elsewhere(&id, upstream, now, out);
+            RequestInput::Peer(KeeperMessage::Refused { id, load }) => {
+                self.note_load(Some(load), now);
+                self.retry_elsewhere(&id, load.upstream, now, out);
             }
             RequestInput::Upstream { upstream, exchange, reply } => {
                 self.finish(upstream, exchange, reply, now, out);
@@ -176,6 +209,20 @@
 
     // The receiving host.
 
+    fn note_load(&mut self, told: Option<TriedUpstream>, now: Duration) {
+        if let Some(TriedUpstream { upstream, load }) = told {
+            self.loads.insert(upstream, KnownLoad { load, at: now });
+        }
+    }
+
+    /// Returns what is known of an upstream's load; what is old counts as nothing.
+    fn known_load(&self, upstream: UpstreamId, now: Duration) -> u32 {
+        match self.loads.get(&upstream) {
+            Some(known) if now < known.at + LOAD_LIFE => known.load,
+            Some(_) | None => 0,
+        }
+    }
+
     fn receive(&mut self, request: CallerRequest, now: Duration, out: &mut Vec<RequestOutput>) {
         self.counters.received += 1;
         self.retry_credit = (self.retry_credit + self.options.retry_percent).min(MAX_RETRY_CREDIT);
@@ -183,7 +230,7 @@
         let Some(service) = snapshot.services.get(&request.service) else {
             // A host that has no rules yet cannot tell whether the request is wrong.
             let reply = match snapshot.services.is_empty() {
-                true => self.not_run(),
+                true => self.refusal(&request),
                 false => CallerReply::Invalid,
             };
             return self.answer(&request, reply, out);
@@ -206,9 +253,9 @@
         now: Duration,
         out: &mut Vec<RequestOutput>,
     ) {
-        let candidates = self.pick_candidates(service, &[]);
+        let candidates = self.pick_candidates(service, &[], now);
         let Some(first) = candidates.first().copied() else {
-            let reply = self.not_run();
+            let reply = self.refusal(&request);
             return self.answer(&request, reply, out);
         };
         let forwarded = ForwardedRequest {
@@ -228,6 +275,7 @@
         &mut self,
         service: &RequestService,
         except: &[UpstreamId],
+        now: Duration,
     ) -> Vec<UpstreamId> {
         let usable: Vec<&KeptUpstream> = service
             .upstreams
@@ -238,6 +286,8 @@
             usable.iter().map(|kept| (self.random.next_u64(), kept.upstream)).collect();
         order.sort_unstable();
         order.truncate(self.options.candidates);
+        // Of a few random ones, the least loaded is tried first.
+        order.sort_by_key(|(_, upstream)| self.known_load(*upstream, now));
         order.into_iter().map(|(_, upstream)| upstream).collect()
     }
 
@@ -248,8 +298,8 @@
         now: Duration,
         out: &mut Vec<RequestOutput>,
     ) {
-        let Some(upstream) = self.pick_candidates(service, &[]).first().copied() else {
-            let reply = self.not_run();
+        let Some(upstream) = self.pick_candidates(service, &[], now).first().copied() else {
+            let reply = self.refusal(request);
             return self.answer(request, reply, out);
         };
         let Some(kept) = self.snapshot.upstream(upstream) else {
@@ -353,11 +403,11 @@
             && self.retry_credit >= RETRY_COST
             && now < pending.deadline;
         let candidates = match service {
-            Some(service) if may_retry => self.pick_candidates(service, &[upstream]),
+            Some(service) if may_retry => self.pick_candidates(service, &[upstream], now),
             _ => Vec::new(),
         };
         let Some(first) = candidates.first().copied() else {
-            let reply = self.not_run();
+            let reply = self.refusal(&request);
             return self.answer(&request, reply, out);
         };
         self.retry_credit -= RETRY_COST;
@@ -432,7 +482,7 @@
                 self.end_without_run(&forwarded, reply, out);
             }
             LedgerEntry::Refused => {
-                let reply = self.not_run();
+                let reply = self.refusal(&forwarded.request);
                 self.end_without_run(&forwarded, reply, out);
             }
             LedgerEntry::Expired => {
@@ -468,12 +518,12 @@
             kept.filter(|kept| kept.keeper == self.options.me)
         };
         let meant =
-            usable().find(|kept| RequestTicket::tag_of(kept.upstream) == ticket.upstream_tag);
-        let least_loaded = || {
-            usable()
-                .min_by_key(|kept| self.keepers.get(&kept.upstream).map_or(0, UpstreamKeeper::load))
-        };
-        meant.or_else(least_loaded).map(|kept| kept.upstream)
+            |kept: &&KeptUpstream| RequestTicket::tag_of(kept.upstream) == ticket.upstream_tag;
+        // Any upstream of this host will do; the one that the ticket names wins a tie.
+        let load =
+            |kept: &KeptUpstream| self.keepers.get(&kept.upstream).map_or(0, UpstreamKeeper::load);
+        let best = usable().min_by_key(|kept| (load(kept), !meant(kept)));
+        best.map(|kept| kept.upstream)
     }
 
     fn may_take(&self, upstream: UpstreamId) -> bool {
@@ -575,7 +625,7 @@
         match reply {
             UpstreamReply::Content(content) => {
                 keeper.limit.succeed(now.saturating_sub(running.dispatched));
-                self.deliver(&running, content, out);
+                self.deliver(&running, upstream, content, out);
             }
             UpstreamReply::Shed => {
                 keeper.limit.collapse();
@@ -590,6 +640,7 @@
     fn deliver(
         &mut self,
         running: &RunningRequest,
+        upstream: UpstreamId,
         content: Vec<u8>,
         out: &mut Vec<RequestOutput>,
     ) {
@@ -605,7 +656,7 @@
         // The request may come again if its answer is lost on the way.
         self.taken.remove(&forwarded.request.id);
         self.answer(&forwarded.request, reply, out);
-        self.send_done(forwarded, out);
+        self.send_done(forwarded, Some(upstream), out);
     }
 
     /// Hands back a request that has not run here.
@@ -629,7 +680,7 @@
         forwarded: &ForwardedRequest,
         out: &mut Vec<RequestOutput>,
     ) {
-        let reply = self.not_run();
+        let reply = self.refusal(&forwarded.request);
         // The ticket is spent: a copy of the request that arrives later must not run either.
         self.ledger.end_ticket(nonce, reply.clone());
         self.end_without_run(forwarded, reply, out);
@@ -646,7 +697,8 @@
         if forwarded.origin == self.options.me.host {
             return self.retry_elsewhere(&id, upstream, now, out);
         }
-        self.send_to_origin(forwarded, KeeperMessage::Refused { id, upstream }, out);
+        let load = TriedUpstream { upstream, load: self.load_of(upstream) };
+        self.send_to_origin(forwarded, KeeperMessage::Refused { id, load }, out);
     }
 
     fn end_without_run(
@@ -657,16 +709,27 @@
     ) {
         self.taken.remove(&forwarded.request.id);
         self.answer(&forwarded.request, reply, out);
-        self.send_done(forwarded, out);
+        self.send_done(forwarded, None, out);
+    }
+
+    fn load_of(&self, upstream: UpstreamId) -> u32 {
+        self.keepers.get(&upstream).map_or(0, UpstreamKeeper::load)
     }
 
-    fn send_done(&mut self, forwarded: &ForwardedRequest, out: &mut Vec<RequestOutput>) {
+    fn send_done(
+        &mut self,
+        forwarded: &ForwardedRequest,
+        upstream: Option<UpstreamId>,
+        out: &mut Vec<RequestOutput>,
+    ) {
         let id = forwarded.request.id.clone();
         if forwarded.origin == self.options.me.host {
             self.pending.remove(&id);
             return;
         }
-        self.send_to_origin(forwarded, KeeperMessage::Done { id }, out);
+        let load =
+            upstream.map(|upstream| TriedUpstream { upstream, load: self.load_of(upstream) });
+        self.send_to_origin(forwarded, KeeperMessage::Done { id, load }, out);
     }
 
     fn send_to_origin(
@@ -707,18 +770,43 @@
             }
         }
         keeper.running.retain(|_, running| now < running.waiting.deadline + ABANDONED_HOLD);
-        if !overdue.is_empty() {
-            keeper.limit.collapse();
+        for _ in &overdue {
+            keeper.limit.step_down();
         }
         for waiting in expired {
             self.end_expired(&waiting, out);
         }
+        self.return_unanswered(upstream, now, out);
         let address = self.snapshot.upstream(upstream).map(|kept| kept.address);
         for (exchange, waiting) in overdue {
             if let Some(address) = address {
                 out.push(RequestOutput::Cancel { upstream, address, exchange });
             }
-            self.end_overdue(&waiting, out);
+            self.end_overdue(&waiting, now, out);
+        }
+    }
+
+    /// Hands back idempotent requests that an upstream should have answered long ago, while there
+    /// is time to try another one.
+    fn return_unanswered(
+        &mut self,
+        upstream: UpstreamId,
+        now: Duration,
+        out: &mut Vec<RequestOutput>,
+    ) {
+        let Some(keeper) = self.keepers.get_mut(&upstream) else { return };
+        let Some(usual) = keeper.limit.usual() else { return };
+        let silent = |running: &RunningRequest| {
+            let idempotent = running.waiting.nonce.is_none();
+            idempotent && !running.abandoned && now > running.dispatched + usual * SILENT_FACTOR
+        };
+        let mut returned = Vec::new();
+        for running in keeper.running.values_mut().filter(|running| silent(running)) {
+            running.abandoned = true;
+            returned.push(running.waiting.clone());
+        }
+        for waiting in returned {
+            self.give_back(waiting, upstream, now, out);
         }
     }
 
@@ -726,16 +814,24 @@
         match waiting.nonce {
             Some(nonce) => self.refuse_ticket(nonce, &waiting.forwarded, out),
             None => {
-                let reply = self.not_run();
+                let reply = self.refusal(&waiting.forwarded.request);
                 self.end_without_run(&waiting.forwarded, reply, out);
             }
         }
     }
 
-    fn end_overdue(&mut self, waiting: &WaitingRequest, out: &mut Vec<RequestOutput>) {
+    fn end_overdue(
+        &mut self,
+        waiting: &WaitingRequest,
+        now: Duration,
+        out: &mut Vec<RequestOutput>,
+    ) {
         self.counters.unknown += 1;
         // The ledger keeps the ticket as running: an answer may still come and is remembered.
-        self.end_without_run(&waiting.forwarded, CallerReply::Unknown, out);
+        let request = &waiting.forwarded.request;
+        self.taken.remove(&request.id);
+        self.answer_last(request, CallerReply::Unknown, now, out);
+        self.send_done(&waiting.forwarded, None, out);
     }
 
     /// Hands back what waits for an upstream that this host keeps no more.
@@ -774,7 +870,39 @@
                 continue;
             };
             self.counters.unknown += 1;
-            self.answer(&pending.forwarded.request, CallerReply::Unknown, out);
+            self.answer_last(&pending.forwarded.request, CallerReply::Unknown, now, out);
+        }
+        self.retry_silent_keepers(now, out);
+        self.repeat_last_words(now, out);
+    }
+
+    /// Tries idempotent requests elsewhere whose keepers are silent for half their patience.
+    fn retry_silent_keepers(&mut self, now: Duration, out: &mut Vec<RequestOutput>) {
+        let silent = |pending: &PendingRequest| {
+            let request = &pending.forwarded.request;
+            let late = now + request.patience / 2 >= pending.deadline && now < pending.deadline;
+            request.idempotent && pending.tries == 1 && late
+        };
+        let mut ids: Vec<RequestId> = self
+            .pending
+            .iter()
+            .filter(|(_, pending)| silent(pending))
+            .map(|(id, _)| id.clone())
+            .collect();
+        ids.sort_unstable();
+        for id in ids.into_iter().take((self.retry_credit / RETRY_COST) as usize) {
+            let first = self.pending.get(&id).and_then(|p| p.forwarded.candidates.first().copied());
+            self.retry_elsewhere(&id, first.unwrap_or(UpstreamId(0)), now, out);
+        }
+    }
+
+    fn repeat_last_words(&mut self, now: Duration, out: &mut Vec<RequestOutput>) {
+        let (due, later) =
+            std::mem::take(&mut self.last_words).into_iter().partition(|word| word.at <= now);
+        self.last_words = later;
+        let due: Vec<LastWord> = due;
+        for LastWord { id, service, reply, .. } in due {
+            out.push(RequestOutput::Answer { id, service, reply });
         }
     }
 
@@ -785,11 +913,33 @@
 
     // Replies.
 
-    fn not_run(&mut self) -> CallerReply {
+    /// Refuses a request: "not run" is only said where this host can know it.
+    fn refusal(&mut self, request: &CallerRequest) -> CallerReply {
+        match request.idempotent {
+            true => CallerReply::Busy { retry_after: self.draw_retry_after() },
+            false => CallerReply::NotRun { retry_after: self.draw_retry_after() },
+        }
+    }
+
+    fn draw_retry_after(&mut self) -> Duration {
         self.counters.refused += 1;
         // Refused callers come back at different times, or they would all meet again.
         let jitter = self.random.random_range(0.0..1.0);
-        CallerReply::NotRun { retry_after: self.options.retry_after.mul_f64(1.0 + jitter) }
+        self.options.retry_after.mul_f64(1.0 + jitter)
+    }
+
+    /// Answers a caller that will not ask again, and once more later.
+    fn answer_last(
+        &mut self,
+        request: &CallerRequest,
+        reply: CallerReply,
+        now: Duration,
+        out: &mut Vec<RequestOutput>,
+    ) {
+        let at = now + LAST_WORD_AGAIN;
+        let (id, service) = (request.id.clone(), request.service);
+        self.last_words.push(LastWord { at, id, service, reply: reply.clone() });
+        self.answer(request, reply, out);
     }
 
     fn answer(
--- a/crates/mustardgrade-node/src/metrics/registry.rs
+++ b/crates/mustardgrade-node/src/metrics/registry.rs
@@ -51,6 +51,8 @@
     answered,
     /// Nothing ran.
     not_run,
+    /// There is no room for an idempotent request.
+    busy,
     /// Nobody can tell.
     unknown,
     /// The request must be repeated with a ticket.
--- a/crates/mustardgrade-node/src/requests/thread.rs
+++ b/crates/mustardgrade-node/src/requests/thread.rs
@@ -256,6 +256,7 @@
         let outcome = match reply {
             CallerReply::Content(_) => RequestWord::answered,
             CallerReply::NotRun { .. } => RequestWord::not_run,
+            CallerReply::Busy { .. } => RequestWord::busy,
             CallerReply::Unknown => RequestWord::unknown,
             CallerReply::Challenge(_) => RequestWord::challenged,
             CallerReply::Invalid => RequestWord::invalid,
--- a/crates/mustardgrade-standin/src/upstream/requests.rs
+++ b/crates/mustardgrade-standin/src/upstream/requests.rs
@@ -1,6 +1,6 @@
 //! The CoAP server with slots, cold start, shedding, deadlines and cancellation.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -39,6 +39,7 @@
     name: String,
     curve: ServiceCurve,
     serving: Vec<ServedRequest>,
+    seen: HashSet<(SocketAddr, Vec<u8>)>,
     answered: u32,
     runs: HashMap<Vec<u8>, u32>,
     shed: u64,
@@ -53,6 +54,7 @@
             name: name.to_owned(),
             curve,
             serving: Vec::new(),
+            seen: HashSet::new(),
             answered: 0,
             runs: HashMap::new(),
             shed: 0,
@@ -112,6 +114,10 @@
     }
 
     fn start(&mut self, packet: Packet, from: SocketAddr, now: Instant) -> Option<Vec<u8>> {
+        // A copy of a message is ignored (RFC 7252, section 4.3).
+        if !self.seen.insert((from, packet.get_token().to_vec())) {
+            return None;
+        }
         if self.serving.len() >= self.curve.slots {
             self.shed += 1;
             let response = respond(&packet, ResponseType::ServiceUnavailable);
--- a/crates/mustardgrade-standin/src/world/actions.rs
+++ b/crates/mustardgrade-standin/src/world/actions.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use mustardgrade_core::identity::DataCentreId;
+use mustardgrade_core::identity::{DataCentreId, UpstreamId};
 use mustardgrade_core::rule::{
     DataCentreRule, DataCentreState, Requester, ServiceRule, UpstreamRule, UpstreamState,
 };
@@ -58,6 +58,8 @@
             line: 0,
         };
         self.upstreams.insert(rule.id(), index);
+        let server = super::servers::VirtualServer::new(usize::from(rule.slots));
+        self.book.servers.insert(rule.id(), server);
         self.rules.upstreams.push(rule);
     }
 
@@ -93,8 +95,12 @@
                 self.store.fault = Some(fault);
                 self.queue.push(self.now + length, WorldEvent::StoreWorks);
             }
-            // Flows do not show how warm an upstream is.
-            EventAction::TurnCold(_) | EventAction::RestartUpstream(_) => {}
+            EventAction::TurnCold(name) => {
+                self.with_server(&name, super::servers::VirtualServer::turn_cold);
+            }
+            EventAction::RestartUpstream(name) => {
+                self.with_server(&name, super::servers::VirtualServer::restart);
+            }
         }
     }
 
@@ -106,6 +112,14 @@
         }
     }
 
+    /// Does something to an upstream that serves requests.
+    fn with_server(&mut self, name: &str, act: impl FnOnce(&mut super::servers::VirtualServer)) {
+        match self.book.servers.get_mut(&UpstreamId::from_name(name)) {
+            Some(server) => act(server),
+            None => self.tally.unknown_names += 1,
+        }
+    }
+
     fn set_upstream(&mut self, name: &str, state: UpstreamState) {
         let Some(rule) = self.rules.upstreams.iter_mut().find(|rule| rule.name == name) else {
             self.tally.unknown_names += 1;
--- a/crates/mustardgrade-standin/src/world/event.rs
+++ b/crates/mustardgrade-standin/src/world/event.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use mustardgrade_core::flow::{BindingRecord, FlowNote, FlowPacket, HopHeader};
-use mustardgrade_core::identity::{DataCentreId, ServiceId};
+use mustardgrade_core::identity::{DataCentreId, ServiceId, UpstreamId};
 use mustardgrade_core::membership::{ControllerInput, StoredPlacement};
+use mustardgrade_core::request::{CallerReply, RequestInput};
 
 /// `RecordDelivery` is what a host receives by a call.
 #[derive(Debug)]
@@ -55,6 +56,14 @@
     StoreWorks,
     FabricForgets { host: usize },
     Sample,
+    StartRequest,
+    ResendRequest { request: u32, message: u32 },
+    RequestOverdue { request: u32 },
+    RequestTick { host: usize, run: u32 },
+    Request { host: usize, run: u32, input: Box<RequestInput> },
+    Reply { request: u32, message: u32, reply: Box<CallerReply> },
+    Serve { upstream: UpstreamId, exchange: u64, host: usize, content: Vec<u8> },
+    Served { upstream: UpstreamId, exchange: u64, host: usize, content: Vec<u8> },
 }
 
 impl WorldEvent {
@@ -68,7 +77,9 @@
             | Self::FlushNotes { host, .. }
             | Self::StoreRead { host, .. }
             | Self::ListRead { host, .. }
-            | Self::Hop { host, .. } => Some(*host),
+            | Self::Hop { host, .. }
+            | Self::RequestTick { host, .. }
+            | Self::Request { host, .. } => Some(*host),
             Self::StoreWrite { .. }
             | Self::Send { .. }
             | Self::Close { .. }
@@ -78,7 +89,13 @@
             | Self::Heal { .. }
             | Self::StoreWorks
             | Self::FabricForgets { .. }
-            | Self::Sample => None,
+            | Self::Sample
+            | Self::StartRequest
+            | Self::ResendRequest { .. }
+            | Self::RequestOverdue { .. }
+            | Self::Reply { .. }
+            | Self::Serve { .. }
+            | Self::Served { .. } => None,
         }
     }
 }
--- a/crates/mustardgrade-standin/src/world/figures.rs
+++ b/crates/mustardgrade-standin/src/world/figures.rs
@@ -169,6 +169,7 @@
         list.add("records", tally.most_records as f64, "records/host");
         list.add("exceptions", tally.most_exceptions as f64, "records/host");
         list.add("guarded_buckets", self.guarded_buckets() as f64, "buckets");
+        self.conclude_requests(&mut list);
         list.add("unknown_names", tally.unknown_names as f64, "events");
         list
     }
--- a/crates/mustardgrade-standin/src/world/hosts.rs
+++ b/crates/mustardgrade-standin/src/world/hosts.rs
@@ -9,9 +9,11 @@
     ControllerInput, ControllerOptions, HostController, ListedHost, MemberOptions,
 };
 use mustardgrade_core::placement::PlannerOptions;
+use mustardgrade_core::request::{RequestInput, RequestRouter};
 
 use super::World;
 use super::event::WorldEvent;
+use super::requests::{REQUEST_TICK, new_router};
 
 /// Time between two ticks of a controller.
 const TICK: Duration = Duration::from_millis(100);
@@ -50,6 +52,8 @@
     pub(super) started: Duration,
     pub(super) controller: HostController,
     pub(super) router: FlowRouter,
+    pub(super) requests: RequestRouter,
+    pub(super) skew: Duration,
     pub(super) control_bytes: u64,
     pub(super) highest_revision: u64,
 }
@@ -61,13 +65,16 @@
         let id = HostId::from_name(name);
         let address = Ipv4Addr::from(0x0A00_0001 + index as u32);
         let centre = DataCentreId::from_name(data_centre);
-        let seeds = self.hosts.iter().filter(|host| host.alive).map(|host| host.address);
+        let alive = self.hosts.iter().filter(|host| host.alive);
+        let seeds: Vec<Ipv4Addr> = alive.map(|host| host.address).take(3).collect();
         let me = HostIncarnation { host: id, incarnation: self.now.as_millis() as u64 + 1 };
+        let seed = rand::RngExt::random(&mut self.random);
+        let skew = self.draw_skew();
         let options = ControllerOptions {
             me,
             address,
             data_centre: centre,
-            seeds: seeds.take(3).collect(),
+            seeds,
             mode: self.scenario.options.placement,
             members: MemberOptions::default(),
             planner: PlannerOptions {
@@ -103,6 +110,8 @@
             started: self.now,
             controller: HostController::new(options),
             router: FlowRouter::new(id, flow_options),
+            requests: new_router(me, centre, seed),
+            skew,
             control_bytes: 0,
             highest_revision: 0,
         });
@@ -110,6 +119,10 @@
         let run = index as u32;
         let at = self.now + self.draw_call_delay();
         self.queue.push(at, WorldEvent::ListRead { host: index, run });
+        if self.has_requests() {
+            let tick = WorldEvent::RequestTick { host: index, run };
+            self.queue.push(self.now + REQUEST_TICK, tick);
+        }
         // Hosts do not tick in step.
         let phase = TICK.mul_f64(rand::RngExt::random_range(&mut self.random, 0.0..1.0));
         self.queue.push(self.now + phase, WorldEvent::Tick { host: index, run });
@@ -136,6 +149,9 @@
         }
         self.queue.push(self.now + TICK, WorldEvent::Tick { host, run });
         self.feed(host, ControllerInput::Tick);
+        if self.has_requests() {
+            self.refresh_requests(host);
+        }
         let was_watcher = self.hosts[host].is_watcher;
         let is_watcher = self.hosts[host].controller.is_watcher();
         self.hosts[host].is_watcher = is_watcher;
@@ -174,6 +190,7 @@
     }
 
     pub(super) fn kill_host(&mut self, host: usize) {
+        self.book.killed_in_flight += self.count_in_flight(host);
         self.hosts[host].alive = false;
         self.hosts[host].died_at = Some(self.now);
         self.queue.push(self.now + FABRIC_LAG, WorldEvent::FabricForgets { host });
@@ -183,6 +200,11 @@
         self.hosts[host].leaving = true;
         self.queue.push(self.now + FABRIC_LAG, WorldEvent::FabricForgets { host });
         self.feed(host, ControllerInput::Leave);
+        if self.has_requests() {
+            let run = self.hosts[host].run;
+            let input = Box::new(RequestInput::Leave);
+            self.queue.push(self.now, WorldEvent::Request { host, run, input });
+        }
     }
 
     pub(super) fn pause_host(&mut self, host: usize, length: Duration) {
--- a/crates/mustardgrade-standin/src/world/mod.rs
+++ b/crates/mustardgrade-standin/src/world/mod.rs
@@ -11,6 +11,9 @@
 mod flows;
 mod hosts;
 mod network;
+mod request_figures;
+mod requests;
+mod servers;
 mod store;
 
 use std::collections::BTreeMap;
@@ -29,6 +32,7 @@
 use flows::VirtualFlow;
 use hosts::VirtualHost;
 use network::VirtualNetwork;
+use requests::RequestBook;
 use store::VirtualStore;
 
 pub use figures::{Figure, FigureList};
@@ -46,6 +50,7 @@
     rules: RuleBook,
     upstreams: BTreeMap<UpstreamId, usize>,
     flows: Vec<VirtualFlow>,
+    book: RequestBook,
     tally: Tally,
 }
 
@@ -71,6 +76,7 @@
             rules: RuleBook::default(),
             upstreams: BTreeMap::new(),
             flows: Vec::new(),
+            book: RequestBook::default(),
             tally: Tally::default(),
         };
         world.set_up();
@@ -104,6 +110,7 @@
                 self.start_host(&format!("{}-{number}", centre.name), &centre.name);
             }
         }
+        self.start_requests();
         self.open_held_flows();
         if self.scenario.flows.opening > 0 {
             self.queue.push(flows::OPENING_STARTS, WorldEvent::OpenFlows);
@@ -136,6 +143,22 @@
             WorldEvent::StoreWorks => self.store_works(),
             WorldEvent::FabricForgets { host } => self.hosts[host].in_fabric = false,
             WorldEvent::Sample => self.sample(),
+            WorldEvent::StartRequest => self.start_request(),
+            WorldEvent::ResendRequest { request, message } => {
+                self.resend_request(request, message);
+            }
+            WorldEvent::RequestOverdue { request } => self.end_request(request),
+            WorldEvent::RequestTick { host, run } => self.tick_requests(host, run),
+            WorldEvent::Request { host, run, input } => self.deliver_request(host, run, *input),
+            WorldEvent::Reply { request, message, reply } => {
+                self.take_reply(request, message, *reply);
+            }
+            WorldEvent::Serve { upstream, exchange, host, content } => {
+                self.serve_request(upstream, exchange, host, content);
+            }
+            WorldEvent::Served { upstream, exchange, host, content } => {
+                self.finish_service(upstream, exchange, host, content);
+            }
         }
     }
 }
--- a/crates/mustardgrade-wire/src/coap/request.rs
+++ b/crates/mustardgrade-wire/src/coap/request.rs
@@ -89,7 +89,8 @@
             Packet::from_bytes(content).map_err(|_cause| CoapError::Malformed)?
         }
         CallerReply::Challenge(ticket) => challenge(ticket),
-        CallerReply::NotRun { retry_after } => not_run(*retry_after),
+        CallerReply::NotRun { retry_after } => refusal(b"not run", *retry_after),
+        CallerReply::Busy { retry_after } => refusal(b"busy", *retry_after),
         CallerReply::Unknown => plain(ResponseType::GatewayTimeout, b"outcome unknown"),
         CallerReply::Invalid => plain(ResponseType::BadRequest, b"not run: invalid request"),
     };
@@ -112,8 +113,8 @@
     packet
 }
 
-fn not_run(retry_after: Duration) -> Packet {
-    let mut packet = plain(ResponseType::ServiceUnavailable, b"not run");
+fn refusal(payload: &[u8], retry_after: Duration) -> Packet {
+    let mut packet = plain(ResponseType::ServiceUnavailable, payload);
     // Max-Age counts whole seconds; rounding up keeps callers from coming back early.
     let seconds = retry_after.as_millis().div_ceil(1_000) as u8;
     packet.add_option(CoapOption::MaxAge, vec![seconds.max(1)]);
--- a/crates/mustardgrade-wire/src/coap/tests.rs
+++ b/crates/mustardgrade-wire/src/coap/tests.rs
@@ -62,6 +62,7 @@
     let replies = [
         CallerReply::Challenge(vec![1; 40]),
         CallerReply::NotRun { retry_after: Duration::from_millis(1_200) },
+        CallerReply::Busy { retry_after: Duration::from_secs(1) },
         CallerReply::Unknown,
         CallerReply::Invalid,
     ];
@@ -74,6 +75,7 @@
     expect![[r#"
         4.01 77 not run: repeat with this ticket
         5.03 77 not run
+        5.03 77 busy
         5.04 77 outcome unknown
         4.00 77 not run: invalid request"#]]
     .assert_eq(&report.join("\n"));
