--- a/crates/mustardgrade-core/src/request/limit.rs
+++ b/crates/mustardgrade-core/src/request/limit.rs
@@ -29,7 +29,7 @@
 
 /// `AdaptiveLimit` bounds the requests in service at one upstream.
 ///
-/// It starts at 1, climbs by one for each row of successes, steps down for an unanswered request,
+/// It starts at 1, climbs by one for each row of successes, steps down for unanswered requests,
 /// and falls back to 1 when the upstream shows that it is cold again. What the keeper saw itself decides; reports do not.
 #[derive(Debug, Clone)]
 pub struct AdaptiveLimit {
@@ -37,6 +37,7 @@
     limit: u16,
     slots: u16,
     successes: u16,
+    unanswered: u16,
     usual: Option<Duration>,
     recent: Option<Duration>,
 }
@@ -45,7 +46,15 @@
     /// Creates the limit of an upstream with `slots` slots.
     #[must_use]
     pub fn new(slots: u16, options: LimitOptions) -> Self {
-        Self { options, limit: 1, slots: slots.max(1), successes: 0, usual: None, recent: None }
+        Self {
+            options,
+            limit: 1,
+            slots: slots.max(1),
+            successes: 0,
+            unanswered: 0,
+            usual: None,
+            recent: None,
+        }
     }
 
     /// Returns the number of requests that the upstream may serve now.
@@ -79,6 +88,7 @@
 
     /// Takes in an answer that took `service_time`.
     pub fn succeed(&mut self, service_time: Duration) {
+        self.unanswered = 0;
         self.recent = Some(self.blend(self.recent, service_time));
         if self.is_slow(service_time) {
             self.collapse();
@@ -94,10 +104,15 @@
         }
     }
 
-    /// Takes in an unanswered request, which the network may have lost.
-    pub fn step_down(&mut self) {
-        self.limit = (self.limit - 1).max(1);
-        self.successes = 0;
+    /// Takes in an unanswered request.
+    ///
+    /// A single one may be lost by the network; several in a row are the upstream's.
+    pub fn miss(&mut self) {
+        self.unanswered += 1;
+        if self.unanswered > 1 {
+            self.limit = (self.limit - 1).max(1);
+            self.successes = 0;
+        }
     }
 
     /// Takes in a shed or slow request.
--- a/crates/mustardgrade-core/src/request/router.rs
+++ b/crates/mustardgrade-core/src/request/router.rs
@@ -7,6 +7,7 @@
 
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::counters::RequestCounters;
 use super::keeper::{KeeperOptions, RunningRequest, UpstreamKeeper, WaitingRequest};
@@ -17,7 +18,7 @@
 };
 use super::snapshot::{KeptUpstream, RequestService, RequestSnapshot};
 use super::ticket::{RequestTicket, TicketKey};
-use crate::identity::{DataCentreId, HostIncarnation, UpstreamId};
+use crate::identity::{DataCentreId, HostIncarnation, UpstreamId, rendezvous_score};
 
 /// `RequestOptions` holds the settings of a [`RequestRouter`].
 #[derive(Debug, Clone)]
@@ -72,6 +73,7 @@
     forwarded: ForwardedRequest,
     deadline: Duration,
     tries: u8,
+    keepers: Vec<HostIncarnation>,
 }
 
 /// `KnownLoad` is the load of an upstream as its keeper told it.
@@ -253,7 +255,7 @@
         now: Duration,
         out: &mut Vec<RequestOutput>,
     ) {
-        let candidates = self.pick_candidates(service, &[], now);
+        let candidates = self.pick_candidates(service, &request.id, &[], now);
         let Some(first) = candidates.first().copied() else {
             let reply = self.refusal(&request);
             return self.answer(&request, reply, out);
@@ -266,29 +268,34 @@
             settle: candidates.len() == 1,
             request,
         };
-        self.note_pending(&forwarded, now);
+        self.note_pending(&forwarded, &candidates, now);
         self.send_to_keeper(first, forwarded, now, out);
     }
 
-    /// Picks distinct upstreams at random, those of this data centre first.
+    /// Picks a few upstreams by the request's hash, the least loaded first.
+    ///
+    /// A request that its caller sends again thus meets the keepers that know it, whichever host
+    /// receives it.
     fn pick_candidates(
-        &mut self,
+        &self,
         service: &RequestService,
+        id: &RequestId,
         except: &[UpstreamId],
         now: Duration,
     ) -> Vec<UpstreamId> {
-        let usable: Vec<&KeptUpstream> = service
+        let key = xxh3_64(&id.token)
+            ^ u64::from(u32::from(*id.caller.ip())) << 16
+            ^ u64::from(id.caller.port());
+        let usable = service
             .upstreams
             .iter()
             .filter(|kept| kept.takes_new && !except.contains(&kept.upstream))
-            .collect();
-        let mut order: Vec<(u64, UpstreamId)> =
-            usable.iter().map(|kept| (self.random.next_u64(), kept.upstream)).collect();
-        order.sort_unstable();
+            .map(|kept| kept.upstream);
+        let mut order: Vec<UpstreamId> = usable.collect();
+        order.sort_by_key(|upstream| (rendezvous_score(key, upstream.0), *upstream));
         order.truncate(self.options.candidates);
-        // Of a few random ones, the least loaded is tried first.
-        order.sort_by_key(|(_, upstream)| self.known_load(*upstream, now));
-        order.into_iter().map(|(_, upstream)| upstream).collect()
+        order.sort_by_key(|upstream| self.known_load(*upstream, now));
+        order
     }
 
     fn challenge(
@@ -298,7 +305,8 @@
         now: Duration,
         out: &mut Vec<RequestOutput>,
     ) {
-        let Some(upstream) = self.pick_candidates(service, &[], now).first().copied() else {
+        let Some(upstream) = self.pick_candidates(service, &request.id, &[], now).first().copied()
+        else {
             let reply = self.refusal(request);
             return self.answer(request, reply, out);
         };
@@ -341,7 +349,7 @@
             settle: true,
             request,
         };
-        self.note_pending(&forwarded, now);
+        self.note_pending(&forwarded, &[], now);
         if keeper == self.options.me {
             return self.keep(forwarded, now, out);
         }
@@ -358,11 +366,18 @@
         RequestTicket::decode(bytes, &self.options.ticket_key, &binding).ok()
     }
 
-    fn note_pending(&mut self, forwarded: &ForwardedRequest, now: Duration) {
+    fn note_pending(
+        &mut self,
+        forwarded: &ForwardedRequest,
+        candidates: &[UpstreamId],
+        now: Duration,
+    ) {
         let deadline = now + forwarded.request.patience;
         let forwarded = forwarded.clone();
         let id = forwarded.request.id.clone();
-        self.pending.insert(id, PendingRequest { forwarded, deadline, tries: 1 });
+        let keepers = candidates.iter().filter_map(|upstream| self.snapshot.upstream(*upstream));
+        let keepers = keepers.map(|kept| kept.keeper).collect();
+        self.pending.insert(id, PendingRequest { forwarded, deadline, tries: 1, keepers });
     }
 
     fn send_to_keeper(
@@ -403,7 +418,9 @@
             && self.retry_credit >= RETRY_COST
             && now < pending.deadline;
         let candidates = match service {
-            Some(service) if may_retry => self.pick_candidates(service, &[upstream], now),
+            Some(service) if may_retry => {
+                self.pick_candidates(service, &request.id, &[upstream], now)
+            }
             _ => Vec::new(),
         };
         let Some(first) = candidates.first().copied() else {
@@ -476,7 +493,13 @@
         }
         match self.ledger.use_ticket(&ticket, now) {
             LedgerEntry::Fresh => self.run_ticket(&ticket, forwarded, now, out),
-            LedgerEntry::Used(TicketState::Running) => self.counters.duplicates += 1,
+            LedgerEntry::Used(TicketState::Running) => {
+                self.counters.duplicates += 1;
+                // A caller that asks after its deadline has not heard the last word.
+                if forwarded.request.patience.is_zero() {
+                    self.answer(&forwarded.request, CallerReply::Unknown, out);
+                }
+            }
             LedgerEntry::Used(TicketState::Ended(reply)) => {
                 self.counters.duplicates += 1;
                 self.end_without_run(&forwarded, reply, out);
@@ -771,7 +794,7 @@
         }
         keeper.running.retain(|_, running| now < running.waiting.deadline + ABANDONED_HOLD);
         for _ in &overdue {
-            keeper.limit.step_down();
+            keeper.limit.miss();
         }
         for waiting in expired {
             self.end_expired(&waiting, out);
@@ -872,27 +895,29 @@
             self.counters.unknown += 1;
             self.answer_last(&pending.forwarded.request, CallerReply::Unknown, now, out);
         }
-        self.retry_silent_keepers(now, out);
+        self.retry_lost_keepers(now, out);
         self.repeat_last_words(now, out);
     }
 
-    /// Tries idempotent requests elsewhere whose keepers are silent for half their patience.
-    fn retry_silent_keepers(&mut self, now: Duration, out: &mut Vec<RequestOutput>) {
-        let silent = |pending: &PendingRequest| {
-            let request = &pending.forwarded.request;
-            let late = now + request.patience / 2 >= pending.deadline && now < pending.deadline;
-            request.idempotent && pending.tries == 1 && late
+    /// Tries idempotent requests elsewhere whose keepers are gone.
+    fn retry_lost_keepers(&mut self, now: Duration, out: &mut Vec<RequestOutput>) {
+        let is_gone =
+            |keeper: &HostIncarnation| self.snapshot.incarnation(keeper.host) != Some(*keeper);
+        let is_lost = |pending: &PendingRequest| {
+            pending.forwarded.request.idempotent
+                && pending.tries == 1
+                && now < pending.deadline
+                && pending.keepers.iter().any(is_gone)
         };
         let mut ids: Vec<RequestId> = self
             .pending
             .iter()
-            .filter(|(_, pending)| silent(pending))
+            .filter(|(_, pending)| is_lost(pending))
             .map(|(id, _)| id.clone())
             .collect();
         ids.sort_unstable();
         for id in ids.into_iter().take((self.retry_credit / RETRY_COST) as usize) {
-            let first = self.pending.get(&id).and_then(|p| p.forwarded.candidates.first().copied());
-            self.retry_elsewhere(&id, first.unwrap_or(UpstreamId(0)), now, out);
+            self.retry_elsewhere(&id, UpstreamId(0), now, out);
         }
     }
 
--- a/crates/mustardgrade-standin/src/world/requests.rs
+++ b/crates/mustardgrade-standin/src/world/requests.rs
@@ -22,9 +22,13 @@
 /// Time between two looks of a router at its deadlines.
 pub(super) const REQUEST_TICK: Duration = Duration::from_millis(20);
 
-/// Time after which a caller sends an unanswered request again.
+/// Time after which a caller first sends an unanswered request again; it doubles each time
+/// (RFC 7252, section 4.2).
 const RETRANSMIT: Duration = Duration::from_millis(500);
 
+/// Time between two askings after the deadline.
+const LAST_ASKS: Duration = Duration::from_millis(200);
+
 /// Time after its deadline by which a caller must have a final word.
 const FINAL_WORD: Duration = Duration::from_secs(1);
 
@@ -53,6 +57,7 @@
     started: Duration,
     ticket: Option<Vec<u8>>,
     message: u32,
+    tries: u32,
     pub(super) word: Option<FinalWord>,
     pub(super) runs: u32,
     pub(super) first_dispatch: Option<Duration>,
@@ -150,6 +155,7 @@
             started: self.now,
             ticket: None,
             message: 0,
+            tries: 0,
             word: None,
             runs: 0,
             first_dispatch: None,
@@ -174,11 +180,17 @@
         let open = &self.book.requests[number as usize];
         let deadline = open.started + patience;
         let message = open.message;
-        if self.now >= deadline {
+        if self.now >= deadline + FINAL_WORD {
             return;
         }
-        let again = self.now + RETRANSMIT;
+        // A caller asks again when its deadline comes, since the last word may have been lost.
+        let again = match self.now < deadline {
+            true => (self.now + RETRANSMIT * 2_u32.pow(open.tries.min(4))).min(deadline),
+            false => self.now + LAST_ASKS,
+        };
         self.queue.push(again, WorldEvent::ResendRequest { request: number, message });
+        self.book.requests[number as usize].tries += 1;
+        let open = &self.book.requests[number as usize];
         let request = CallerRequest {
             id: RequestId {
                 caller: caller_of(number),
@@ -188,7 +200,7 @@
             service: self.rules.services[open.service].address,
             idempotent: !open.once,
             ticket: open.ticket.clone(),
-            patience: deadline - self.now,
+            patience: deadline.saturating_sub(self.now),
             content: number.to_be_bytes().to_vec(),
         };
         for delay in self.draw_arrivals() {
@@ -343,6 +355,7 @@
             CallerReply::Challenge(ticket) => {
                 open.ticket = Some(ticket);
                 open.message += 1;
+                open.tries = 0;
                 return self.send_request(request);
             }
             CallerReply::Content(content) => {
