Serve new flows on both sides of a cut; merge after it

Change: buckets of upstreams beyond a cut are guarded by view; once all views agree, new flows go to a reachable substitute and are recorded; on healing every host gathers these records from all others before it trusts computed answers again; silent hosts are probed during a cut.

--- a/crates/mustardgrade-core/src/flow/router.rs
+++ b/crates/mustardgrade-core/src/flow/router.rs
@@ -211,6 +211,18 @@
         })
     }
 
+    /// Returns the settled exceptions, and the flows that this side of a cut has placed.
+    #[must_use]
+    pub fn known_exceptions(&self, service: ServiceId) -> Vec<BindingRecord> {
+        let mut known = self.exceptions.select(service, |_| true);
+        if let Some(route) = self.snapshot.service(service) {
+            known.extend(self.bucket_records(service, &|bucket| {
+                route.cut_guards.get(bucket.0 as usize).copied().unwrap_or_default()
+            }));
+        }
+        known
+    }
+
     /// Returns all records of the buckets that `wanted` accepts.
     #[must_use]
     pub fn bucket_records(
@@ -243,9 +255,17 @@
                 }
             }
             let table = &route.table;
-            self.records.retain(route.service, |record| {
-                table.slot(table.bucket_of(record.fingerprint)).phase.is_guarded()
-            });
+            let steady = |record: BindingRecord| {
+                !table.slot(table.bucket_of(record.fingerprint)).phase.is_guarded()
+            };
+            let differs = |record: BindingRecord| {
+                table.slot(table.bucket_of(record.fingerprint)).current != record.upstream
+            };
+            // Flows that a substitute took stay there after the guard.
+            for record in self.records.select(route.service, |r| steady(r) && differs(r)) {
+                self.exceptions.insert(route.service, record);
+            }
+            self.records.retain(route.service, |record| !steady(record));
             self.exceptions.retain(route.service, |record| {
                 route.upstream(record.upstream).is_some_and(|upstream| upstream.reachable)
             });
--- a/crates/mustardgrade-core/src/flow/snapshot.rs
+++ b/crates/mustardgrade-core/src/flow/snapshot.rs
@@ -48,6 +48,8 @@
     pub reachable: bool,
     /// Whether it may receive new flows.
     pub takes_new: bool,
+    /// Whether this host is cut off from it.
+    pub cut_off: bool,
 }
 
 /// `ServiceRoute` is a flow service as traffic threads see it.
@@ -61,6 +63,8 @@
     pub table: PlacementTable,
     /// One route for each upstream of the table.
     pub upstreams: Vec<UpstreamRoute>,
+    /// Whether a bucket is guarded only because this host is cut off from its upstream.
+    pub cut_guards: Vec<bool>,
 }
 
 impl ServiceRoute {
@@ -153,6 +157,10 @@
     pub book: &'a PlacementBook,
     /// Live hosts, this one included.
     pub members: &'a [RouteMember],
+    /// Data centres that this host is cut off from.
+    pub cut_off: &'a [DataCentreId],
+    /// Whether all live hosts see the same hosts.
+    pub converged: bool,
     /// Whether guards are added for upstreams that take no new work.
     pub guarded: bool,
 }
@@ -183,50 +191,73 @@
     service: &ServiceRule,
     table: &PlacementTable,
 ) -> ServiceRoute {
-    let upstreams: Vec<UpstreamRoute> = table
-        .upstreams
-        .iter()
-        .map(|upstream| upstream_route(inputs.rules, service, *upstream))
-        .collect();
+    let upstreams: Vec<UpstreamRoute> =
+        table.upstreams.iter().map(|upstream| upstream_route(inputs, service, *upstream)).collect();
     let mut table = table.clone();
+    let mut cut_guards = Vec::new();
     if inputs.guarded {
+        let is_cut =
+            |index: u16| upstreams.get(usize::from(index)).is_some_and(|upstream| upstream.cut_off);
+        cut_guards = table
+            .slots
+            .iter()
+            .map(|slot| !slot.phase.is_guarded() && is_cut(slot.current))
+            .collect();
         for bucket in 0..table.slots.len() {
             let slot = table.slots[bucket];
-            table.slots[bucket] = effective_slot(slot, bucket, &upstreams, inputs.rules_echoed);
+            table.slots[bucket] = effective_slot(slot, bucket, &upstreams, inputs);
         }
     }
-    ServiceRoute { service: service.id(), tenant: service.tenant.clone(), table, upstreams }
+    ServiceRoute {
+        service: service.id(),
+        tenant: service.tenant.clone(),
+        table,
+        upstreams,
+        cut_guards,
+    }
 }
 
-fn upstream_route(rules: &RuleBook, service: &ServiceRule, upstream: UpstreamId) -> UpstreamRoute {
+fn upstream_route(
+    inputs: SnapshotInputs<'_>,
+    service: &ServiceRule,
+    upstream: UpstreamId,
+) -> UpstreamRoute {
+    let rules = inputs.rules;
     match rules.upstreams_of(&service.name).find(|rule| rule.id() == upstream) {
-        Some(rule) => UpstreamRoute {
-            upstream,
-            address: rule.address,
-            data_centre: DataCentreId::from_name(&rule.data_centre),
-            reachable: rule.state != UpstreamState::Gone && rules.is_in(&rule.data_centre),
-            takes_new: rules.takes_new_work(rule),
-        },
+        Some(rule) => {
+            let data_centre = DataCentreId::from_name(&rule.data_centre);
+            let cut_off = inputs.cut_off.contains(&data_centre);
+            UpstreamRoute {
+                upstream,
+                address: rule.address,
+                data_centre,
+                reachable: rule.state != UpstreamState::Gone && rules.is_in(&rule.data_centre),
+                takes_new: rules.takes_new_work(rule) && !cut_off,
+                cut_off,
+            }
+        }
         None => UpstreamRoute {
             upstream,
             address: Ipv4Addr::UNSPECIFIED,
             data_centre: DataCentreId(0),
             reachable: false,
             takes_new: false,
+            cut_off: false,
         },
     }
 }
 
 /// Adds a guard to a slot whose upstream takes no new work.
 ///
-/// The rules alone thus keep new flows away from a draining upstream, also while the store cannot
+/// The same holds for an upstream that the host is cut off from: each side of a cut places new flows
+/// on what it reaches. The rules alone thus keep new flows away from a draining upstream, also while the store cannot
 /// take a new table. Every host computes the same substitute, and new flows go to it only once all
 /// live hosts have the rules in force, which is the same step as the announcement of a move.
 fn effective_slot(
     slot: BucketSlot,
     bucket: usize,
     upstreams: &[UpstreamRoute],
-    rules_echoed: bool,
+    inputs: SnapshotInputs<'_>,
 ) -> BucketSlot {
     let opening = upstreams.get(usize::from(slot.opening()));
     if opening.is_none_or(|route| route.takes_new) {
@@ -239,7 +270,12 @@
     };
     let unlisted = slot.unlisted();
     let collecting = matches!(slot.phase, BucketPhase::Collecting | BucketPhase::Settling);
-    let moves = target != UNPLACED && (rules_echoed || collecting);
+    // A cut shows in the views of the hosts, a drain in their rules.
+    let echoed = match opening.is_some_and(|route| route.cut_off) {
+        true => inputs.converged,
+        false => inputs.rules_echoed,
+    };
+    let moves = target != UNPLACED && (echoed || collecting);
     match moves {
         true => BucketSlot { base: unlisted, current: target, phase: BucketPhase::Collecting },
         false => BucketSlot { base: unlisted, current: unlisted, phase: BucketPhase::Announced },
--- a/crates/mustardgrade-core/src/membership/controller.rs
+++ b/crates/mustardgrade-core/src/membership/controller.rs
@@ -95,8 +95,13 @@
     Rules(StoredRules),
     /// A placement has been read from the store or a peer.
     Placement(StoredPlacement),
-    /// A peer has handed over all settled exceptions as of a generation.
-    ExceptionsFetched(u64),
+    /// A peer has handed over all settled exceptions.
+    ExceptionsFetched {
+        /// The peer.
+        from: Ipv4Addr,
+        /// The peer's generation.
+        generation: u64,
+    },
     /// A peer has handed over the settled exceptions of buckets that it owns.
     BucketsSettled {
         /// The service.
@@ -164,6 +169,14 @@
     Done,
 }
 
+/// `MergeStep` is how far a host has come in gathering what others placed without it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct MergeStep {
+    since: Duration,
+    started: bool,
+    missing: BTreeSet<Ipv4Addr>,
+}
+
 /// `LeaveStep` is how far a stopping host has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum LeaveStep {
@@ -179,6 +192,8 @@
     echoed: bool,
     generation: u64,
     members: Vec<RouteMember>,
+    cut_off: Vec<DataCentreId>,
+    converged: bool,
 }
 
 /// `PlanInputs` is what a plan without guards depends on.
@@ -201,6 +216,7 @@
     placement: StoredPlacement,
     covered: BTreeMap<ServiceId, BTreeSet<BucketIndex>>,
     exceptions_complete: bool,
+    merge: Option<MergeStep>,
     is_settling: bool,
     settled: u64,
     sequence: u64,
@@ -231,6 +247,7 @@
             placement: Arc::new(PlacementBook::default()),
             covered: BTreeMap::new(),
             exceptions_complete: false,
+            merge: None,
             is_settling: false,
             settled: 0,
             sequence: 0,
@@ -328,7 +345,9 @@
             ControllerInput::Listed(listed) => self.members.set_listed(listed),
             ControllerInput::Rules(rules) => self.take_rules(rules),
             ControllerInput::Placement(placement) => self.take_placement(placement, now),
-            ControllerInput::ExceptionsFetched(generation) => self.take_exceptions(generation),
+            ControllerInput::ExceptionsFetched { from, generation } => {
+                self.take_exceptions(from, generation);
+            }
             ControllerInput::BucketsSettled { service, generation, buckets } => {
                 self.take_settled(service, generation, &buckets);
             }
@@ -351,12 +370,19 @@
         if now >= self.last_digest + self.options.members.heartbeat {
             self.send_digest(now, out);
         }
+        self.probe_silent(out);
     }
 
     fn receive(&mut self, digest: &HostDigest, now: Duration, out: &mut Vec<ControllerOutput>) {
+        let returns = self.members.was_silent(digest.from);
         if !self.members.receive(digest) {
             return;
         }
+        // Hosts that did not hear each other may have placed flows on their own.
+        if returns && self.join == JoinStep::Done && self.options.mode == PlacementMode::Guarded {
+            self.start_merge();
+            out.push(ControllerOutput::Heard(Duration::ZERO));
+        }
         self.dirty = true;
         self.fetch_if_behind(digest, now, out);
         // A peer that moved on twice has not waited for this host, so its tables may be wrong.
@@ -440,12 +466,52 @@
         }
     }
 
-    fn take_exceptions(&mut self, generation: u64) {
-        if generation >= self.placement.generation {
-            self.exceptions_complete = true;
-            if matches!(self.join, JoinStep::Exceptions(_)) {
-                self.join = JoinStep::Views(self.members.active_time());
+    fn take_exceptions(&mut self, from: Ipv4Addr, generation: u64) {
+        if generation < self.placement.generation {
+            return;
+        }
+        if let Some(merge) = &mut self.merge {
+            merge.missing.remove(&from);
+            let finished = merge.started && merge.missing.is_empty();
+            if !finished {
+                return;
             }
+            self.merge = None;
+        }
+        self.exceptions_complete = true;
+        if matches!(self.join, JoinStep::Exceptions(_)) {
+            self.join = JoinStep::Views(self.members.active_time());
+        }
+    }
+
+    /// Starts to gather what hosts placed while they did not hear each other.
+    fn start_merge(&mut self) {
+        self.exceptions_complete = false;
+        let since = self.members.active_time();
+        self.merge = Some(MergeStep { since, started: false, missing: BTreeSet::new() });
+    }
+
+    /// Asks all live hosts for their exceptions once their views agree.
+    fn advance_merge(&mut self, now: Duration, waited: bool, out: &mut Vec<ControllerOutput>) {
+        let view = self.digest().view;
+        let converged = self.members.is_converged(view);
+        let active = self.members.active_time();
+        let live: BTreeSet<Ipv4Addr> = self.peer_addresses().into_iter().collect();
+        let Some(merge) = &mut self.merge else { return };
+        let patient = active < merge.since + JOIN_PATIENCE;
+        if !merge.started && (converged || !patient) {
+            merge.started = true;
+            merge.missing.clone_from(&live);
+        }
+        merge.missing.retain(|address| live.contains(address));
+        if merge.started && merge.missing.is_empty() {
+            self.merge = None;
+            self.exceptions_complete = true;
+            return;
+        }
+        if merge.started && waited {
+            self.last_fetch = Some(now);
+            out.extend(merge.missing.iter().copied().map(ControllerOutput::FetchExceptions));
         }
     }
 
@@ -507,7 +573,9 @@
             }
             JoinStep::Out | JoinStep::Records | JoinStep::Done => {}
         }
-        if self.join == JoinStep::Done && !self.exceptions_complete && waited {
+        if self.join == JoinStep::Done && self.merge.is_some() {
+            self.advance_merge(now, waited, out);
+        } else if self.join == JoinStep::Done && !self.exceptions_complete && waited {
             self.last_fetch = Some(now);
             self.fetch_exceptions(out);
         }
@@ -639,6 +707,18 @@
         out.push(ControllerOutput::SendDigest { to, digest: self.digest() });
     }
 
+    /// Probes one silent host at each tick while a data centre is cut off, so that both sides learn
+    /// of the healing soon.
+    fn probe_silent(&mut self, out: &mut Vec<ControllerOutput>) {
+        if self.members.cut_off().is_empty() {
+            return;
+        }
+        self.sequence += 1;
+        if let Some(target) = self.members.silent_target(self.sequence) {
+            out.push(ControllerOutput::SendDigest { to: vec![target], digest: self.digest() });
+        }
+    }
+
     fn install_snapshot(&mut self, out: &mut Vec<ControllerOutput>) {
         let Some(rules) = &self.rules else { return };
         let view = SnapshotView {
@@ -646,7 +726,10 @@
             echoed: self.members.rules_echoed(rules.revision),
             generation: self.placement.generation,
             members: self.members.route_members(&self.digest()),
+            cut_off: self.members.cut_off(),
+            converged: self.members.is_converged(self.digest().view),
         };
+        let view = SnapshotView { converged: view.converged && !view.cut_off.is_empty(), ..view };
         if self.last_view.as_ref() == Some(&view) {
             return;
         }
@@ -656,6 +739,8 @@
             rules_echoed: view.echoed,
             book: &self.placement,
             members: &view.members,
+            cut_off: &view.cut_off,
+            converged: view.converged,
             guarded: self.options.mode == PlacementMode::Guarded,
         }));
         self.last_view = Some(view);
--- a/crates/mustardgrade-core/src/membership/member.rs
+++ b/crates/mustardgrade-core/src/membership/member.rs
@@ -9,7 +9,7 @@
 
 use super::digest::{HostDigest, HostState};
 use crate::flow::{OwnerRole, RouteMember};
-use crate::identity::{DataCentreId, HostId};
+use crate::identity::{DataCentreId, HostId, HostIncarnation};
 use crate::placement::EchoState;
 
 /// Silence after which an unlisted host is forgotten; sooner, and a host that the list does not name
@@ -123,6 +123,40 @@
         targets
     }
 
+    /// Returns the data centres whose hosts are all silent although they should be there.
+    #[must_use]
+    pub fn cut_off(&self) -> Vec<DataCentreId> {
+        let listed = self.listed.iter().filter(|listed| !listed.leaving);
+        let mut expected: Vec<DataCentreId> = listed.map(|listed| listed.data_centre).collect();
+        expected.sort_unstable();
+        expected.dedup();
+        expected.retain(|centre| {
+            let heard = self.live().any(|member| member.digest.data_centre == *centre);
+            *centre != self.own_data_centre && !heard && !self.is_out(*centre)
+        });
+        expected
+    }
+
+    /// Returns the address of one silent host, another one with each number.
+    #[must_use]
+    pub fn silent_target(&self, number: u64) -> Option<Ipv4Addr> {
+        let is_silent = |listed: &&ListedHost| {
+            let heard = self.members.get(&listed.host).is_some_and(|member| self.is_live(member));
+            listed.host != self.me && !heard && !self.is_out(listed.data_centre)
+        };
+        let silent: Vec<Ipv4Addr> =
+            self.listed.iter().filter(is_silent).map(|listed| listed.address).collect();
+        let count = silent.len().max(1) as u64;
+        silent.get((number % count) as usize).copied()
+    }
+
+    /// Tells whether a host was heard before but has been silent for too long.
+    #[must_use]
+    pub fn was_silent(&self, host: HostIncarnation) -> bool {
+        let member = self.members.get(&host.host);
+        member.is_some_and(|member| member.digest.from == host && !self.is_live(member))
+    }
+
     /// Returns the time that is counted for silence.
     #[must_use]
     pub fn active_time(&self) -> Duration {
@@ -220,6 +254,13 @@
     /// Sets the data centres that the rules have taken out.
     pub fn set_out(&mut self, out: Vec<DataCentreId>) {
         self.out = out;
+        // They come back as if they were new.
+        let own = self.own_data_centre;
+        let out = &self.out;
+        self.members.retain(|_, member| {
+            let centre = member.digest.data_centre;
+            centre == own || !out.contains(&centre)
+        });
     }
 
     /// Counts the time since the last call as running time, unless the host was paused.
@@ -249,6 +290,9 @@
         if !self.members.get(&host).is_none_or(|known| newest(&known.digest)) {
             return false;
         }
+        if self.is_out(digest.data_centre) {
+            return false;
+        }
         self.last_heard = self.active_time;
         self.members.insert(host, HostMember { digest: *digest, heard_at: self.active_time });
         true
--- a/crates/mustardgrade-core/src/placement/planner.rs
+++ b/crates/mustardgrade-core/src/placement/planner.rs
@@ -18,6 +18,9 @@
     pub method: AssignMethod,
     /// Whether moves go through guards; without them a move takes effect at once.
     pub guarded: bool,
+    /// Whether moves are announced and wait for the echo of all live hosts; off only to show that
+    /// the checks catch a protocol without it.
+    pub wait_for_echo: bool,
     /// Time for which a moved bucket collects its old flows; flows that stay silent for longer are
     /// taken for closed.
     pub collect_time: Duration,
@@ -25,7 +28,12 @@
 
 impl Default for PlannerOptions {
     fn default() -> Self {
-        Self { method: AssignMethod::Bounded, guarded: true, collect_time: Duration::from_secs(60) }
+        Self {
+            method: AssignMethod::Bounded,
+            guarded: true,
+            wait_for_echo: true,
+            collect_time: Duration::from_secs(60),
+        }
     }
 }
 
@@ -153,7 +161,7 @@
         echo: EchoState,
         now: Duration,
     ) {
-        let applied = echo.applied >= generation;
+        let applied = echo.applied >= generation || !self.options.wait_for_echo;
         let settled = echo.settled >= generation && !echo.listed_missing;
         let service = table.service;
         let upstreams = &table.upstreams;
@@ -208,6 +216,9 @@
             return;
         }
         slot.phase = match slot.phase {
+            BucketPhase::Steady | BucketPhase::Announced if !self.options.wait_for_echo => {
+                BucketPhase::Collecting
+            }
             BucketPhase::Steady | BucketPhase::Announced => BucketPhase::Announced,
             BucketPhase::Collecting => BucketPhase::Collecting,
             BucketPhase::Settling => {
--- a/crates/mustardgrade-node/src/control/effects.rs
+++ b/crates/mustardgrade-node/src/control/effects.rs
@@ -88,7 +88,8 @@
             let reply = calls.call(address, &PeerCall::Exceptions).await;
             let Ok(PeerReply::Records { generation, services }) = reply else { return };
             install_exceptions(&lanes, services).await;
-            let _gone = me.tell(ControllerInput::ExceptionsFetched(generation)).await;
+            let fetched = ControllerInput::ExceptionsFetched { from: address, generation };
+            let _gone = me.tell(fetched).await;
         });
     }
 
--- a/crates/mustardgrade-node/src/traffic/lane.rs
+++ b/crates/mustardgrade-node/src/traffic/lane.rs
@@ -357,12 +357,12 @@
                 }
             }
             LaneCommand::ListExceptions(reply) => {
-                let exceptions = self.router.exceptions();
+                let services = self.installed.services.iter().map(|route| route.service);
                 let list = |service| ServiceRecordList {
                     service,
-                    records: exceptions.select(service, |_| true),
+                    records: self.router.known_exceptions(service),
                 };
-                let _gone = reply.send(exceptions.services().into_iter().map(list).collect());
+                let _gone = reply.send(services.map(list).collect());
             }
             LaneCommand::ListSettled { service, buckets, reply } => {
                 let buckets: std::collections::HashSet<BucketIndex> = buckets.into_iter().collect();
--- a/crates/mustardgrade-standin/src/measure/relay.rs
+++ b/crates/mustardgrade-standin/src/measure/relay.rs
@@ -180,6 +180,8 @@
         rules_echoed: true,
         book: &book,
         members: &[],
+        cut_off: &[],
+        converged: true,
         guarded: true,
     })));
     let clock = UnixClock::new();
--- a/crates/mustardgrade-standin/src/measure/tests.rs
+++ b/crates/mustardgrade-standin/src/measure/tests.rs
@@ -32,3 +32,18 @@
     let guarded = measure(&[("flows", "2000")], 1);
     assert!(guarded.is_kept(), "{guarded}");
 }
+
+#[test]
+fn moves_without_announcement_are_caught() {
+    let lossy = include_str!("../../../../scenarios/flow-change-lossy.scn");
+    let broken = |echo: &str| {
+        let text =
+            lossy.replace("option placement", &format!("option echo {echo}\noption placement"));
+        let small = [("flows", "1000"), ("opening", "3000")]
+            .map(|(name, value)| Override { name: name.to_owned(), value: value.to_owned() });
+        let scenario = parse_scenario(&text, &small).expect("the scenario is valid");
+        value(&measure_scenario(&scenario, SeedRange { first: 2, last: 2 }), "broken_flows")
+    };
+    assert_eq!(broken("on"), 0.0);
+    assert!(broken("off") > 0.0);
+}
--- a/crates/mustardgrade-standin/src/world/control.rs
+++ b/crates/mustardgrade-standin/src/world/control.rs
@@ -122,14 +122,17 @@
 
     fn fetch_exceptions(&mut self, host: usize, address: Ipv4Addr) {
         let Some((peer, delay)) = self.call(host, address) else { return };
-        let exceptions = self.hosts[peer].router.exceptions();
-        let lists: Vec<ServiceList> = exceptions
-            .services()
-            .into_iter()
-            .map(|service| (service, exceptions.select(service, |_| true)))
-            .collect();
+        let router = &self.hosts[peer].router;
+        let services = router.snapshot().services.iter().map(|route| route.service);
+        let lists: Vec<ServiceList> =
+            services.map(|service| (service, router.known_exceptions(service))).collect();
         let generation = self.hosts[peer].controller.placement().generation;
-        self.reply_records(peer, host, delay, RecordDelivery::Exceptions(generation, lists));
+        self.reply_records(
+            peer,
+            host,
+            delay,
+            RecordDelivery::Exceptions(address, generation, lists),
+        );
     }
 
     fn fetch_settled(
@@ -189,7 +192,7 @@
         let lists = match &delivery {
             RecordDelivery::Merge(lists)
             | RecordDelivery::MergeLast(lists)
-            | RecordDelivery::Exceptions(_, lists)
+            | RecordDelivery::Exceptions(_, _, lists)
             | RecordDelivery::Settled(lists, _) => lists,
         };
         if peer != host {
@@ -225,9 +228,9 @@
                 self.merge_records(host, lists);
                 self.feed(host, ControllerInput::RecordsFetched);
             }
-            RecordDelivery::Exceptions(generation, lists) => {
+            RecordDelivery::Exceptions(from, generation, lists) => {
                 self.install_exceptions(host, lists);
-                self.feed(host, ControllerInput::ExceptionsFetched(generation));
+                self.feed(host, ControllerInput::ExceptionsFetched { from, generation });
             }
             RecordDelivery::Settled(lists, told) => {
                 self.install_exceptions(host, lists);
--- a/crates/mustardgrade-standin/src/world/hosts.rs
+++ b/crates/mustardgrade-standin/src/world/hosts.rs
@@ -80,6 +80,7 @@
             planner: PlannerOptions {
                 method: self.scenario.options.method,
                 guarded: self.scenario.options.placement == PlacementMode::Guarded,
+                wait_for_echo: self.scenario.options.echo,
                 collect_time: self.scenario.options.collect,
             },
         };
