--- a/crates/mustardgrade-core/src/flow/mod.rs
+++ b/crates/mustardgrade-core/src/flow/mod.rs
@@ -3,6 +3,7 @@
 mod chain;
 mod counters;
 mod hop;
+mod owner;
 mod packet;
 mod records;
 mod router;
--- a/crates/mustardgrade-core/src/flow/router.rs
+++ b/crates/mustardgrade-core/src/flow/router.rs
@@ -12,13 +12,13 @@
 use super::hop::{FlowNote, HopHeader, HopStage, NoteKind, PeerNote, RecordTransfer};
 use super::packet::FlowPacket;
 use super::records::{BindingRecord, RecordTable};
-use super::snapshot::{OwnerRole, RoutingSnapshot, ServiceRoute};
+use super::snapshot::{RoutingSnapshot, ServiceRoute};
 use super::table::{FlowTable, InsertOutcome};
 use crate::identity::{HostId, ServiceId, UpstreamId};
 use crate::placement::{BucketIndex, BucketSlot};
 
 /// Most hosts that a packet passes on its way to an upstream; two suffice while views agree.
-const MAX_HOPS: u8 = 4;
+pub(super) const MAX_HOPS: u8 = 4;
 
 /// `PlacementMode` selects how flows stay with their upstream.
 #[derive(Debug, Display, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -101,20 +101,20 @@
 
 /// `AnswerBudget` bounds the answers a second.
 #[derive(Debug, Clone, Copy, Default)]
-struct AnswerBudget {
-    second: u64,
-    spent: u32,
+pub(super) struct AnswerBudget {
+    pub(super) second: u64,
+    pub(super) spent: u32,
 }
 
 /// `FlowCase` is a packet with what has been looked up for it.
 #[derive(Debug, Clone, Copy)]
-struct FlowCase<'a> {
-    packet: &'a FlowPacket,
-    route: &'a ServiceRoute,
-    fingerprint: u64,
-    bucket: BucketIndex,
-    slot: BucketSlot,
-    now: Duration,
+pub(super) struct FlowCase<'a> {
+    pub(super) packet: &'a FlowPacket,
+    pub(super) route: &'a ServiceRoute,
+    pub(super) fingerprint: u64,
+    pub(super) bucket: BucketIndex,
+    pub(super) slot: BucketSlot,
+    pub(super) now: Duration,
 }
 
 /// `FlowRouter` decides where each packet of a long flow goes.
@@ -123,18 +123,18 @@
 /// [`RoutingSnapshot`].
 #[derive(Debug)]
 pub struct FlowRouter {
-    me: HostId,
-    options: FlowOptions,
-    snapshot: Arc<RoutingSnapshot>,
-    flows: FlowTable,
-    records: RecordTable,
-    exceptions: RecordTable,
-    guard_tags: HashMap<ServiceId, Vec<u8>>,
-    heard_at: Duration,
-    notes: Vec<PeerNote>,
-    transfers: Vec<RecordTransfer>,
-    budget: AnswerBudget,
-    counters: FlowCounters,
+    pub(super) me: HostId,
+    pub(super) options: FlowOptions,
+    pub(super) snapshot: Arc<RoutingSnapshot>,
+    pub(super) flows: FlowTable,
+    pub(super) records: RecordTable,
+    pub(super) exceptions: RecordTable,
+    pub(super) guard_tags: HashMap<ServiceId, Vec<u8>>,
+    pub(super) heard_at: Duration,
+    pub(super) notes: Vec<PeerNote>,
+    pub(super) transfers: Vec<RecordTransfer>,
+    pub(super) budget: AnswerBudget,
+    pub(super) counters: FlowCounters,
 }
 
 impl FlowRouter {
@@ -275,7 +275,7 @@
     }
 
     /// Collects the records of buckets whose chain gains a member with `next`.
-    fn plan_transfers(&mut self, next: &RoutingSnapshot) {
+    pub(super) fn plan_transfers(&mut self, next: &RoutingSnapshot) {
         if self.records.is_empty() {
             return;
         }
@@ -370,7 +370,7 @@
         }
     }
 
-    fn learn_answer(&mut self, note: &FlowNote, now: Duration) {
+    pub(super) fn learn_answer(&mut self, note: &FlowNote, now: Duration) {
         let snapshot = Arc::clone(&self.snapshot);
         let Some(route) = snapshot.service(note.service) else {
             return;
@@ -414,7 +414,7 @@
         self.bucket_records(service, &|bucket| self.snapshot.may_keep(route, bucket, member))
     }
 
-    fn case_of<'a>(
+    pub(super) fn case_of<'a>(
         &self,
         snapshot: &'a RoutingSnapshot,
         packet: &'a FlowPacket,
@@ -427,7 +427,7 @@
         Some(FlowCase { packet, route, fingerprint, bucket, slot, now })
     }
 
-    fn route_computed(&mut self, case: FlowCase<'_>) -> FlowVerdict {
+    pub(super) fn route_computed(&mut self, case: FlowCase<'_>) -> FlowVerdict {
         if !case.packet.opens()
             && let Some(entry) = self.flows.touch(case.fingerprint, case.now)
         {
@@ -437,7 +437,7 @@
         self.deliver(case, case.slot.current)
     }
 
-    fn route_guarded(&mut self, case: FlowCase<'_>) -> FlowVerdict {
+    pub(super) fn route_guarded(&mut self, case: FlowCase<'_>) -> FlowVerdict {
         if let Some(upstream) = self.exceptions.get(case.route.service, case.fingerprint) {
             return self.deliver(case, upstream);
         }
@@ -453,12 +453,12 @@
         self.ask_owner(case, claim, fenced)
     }
 
-    fn is_fenced(&self, now: Duration) -> bool {
+    pub(super) fn is_fenced(&self, now: Duration) -> bool {
         now > self.heard_at + self.options.fence
     }
 
     /// Looks a flow up in the local table, as far as the guard of its bucket allows.
-    fn known_upstream(&mut self, case: FlowCase<'_>, fenced: bool) -> KnownFlow {
+    pub(super) fn known_upstream(&mut self, case: FlowCase<'_>, fenced: bool) -> KnownFlow {
         if case.packet.opens() {
             return KnownFlow::Unknown;
         }
@@ -480,155 +480,7 @@
         KnownFlow::Unknown
     }
 
-    fn ask_owner(&mut self, case: FlowCase<'_>, claim: Option<u16>, fenced: bool) -> FlowVerdict {
-        let snapshot = Arc::clone(&self.snapshot);
-        let chain = snapshot.chain(case.route, case.bucket);
-        let Some(chain) = chain else {
-            return match fenced {
-                true => self.drop_packet(DropCause::Fenced),
-                false => self.deliver(case, claim.unwrap_or(case.slot.unlisted())),
-            };
-        };
-        let header = HopHeader {
-            stage: HopStage::Owner { claim },
-            asker: self.me,
-            asker_lane: self.options.lane,
-            sender: self.me,
-            generation: snapshot.generation,
-            hops: 0,
-        };
-        if fenced {
-            // The table here may be old, so the decision is left to a host that hears its peers.
-            let other = [Some(chain.owner), chain.replica].into_iter().flatten();
-            return match other.into_iter().find(|host| *host != self.me) {
-                Some(host) => self.hop_to(case, &snapshot, host, header),
-                None => self.drop_packet(DropCause::Fenced),
-            };
-        }
-        match chain.owner == self.me {
-            true => self.decide(case, header, claim),
-            false => self.hop_to(case, &snapshot, chain.owner, header),
-        }
-    }
-
-    /// Acts as the owner of a guarded bucket.
-    fn decide(&mut self, case: FlowCase<'_>, hop: HopHeader, claim: Option<u16>) -> FlowVerdict {
-        let service = case.route.service;
-        if let Some(upstream) = self.records.get(service, case.fingerprint) {
-            let wrong = claim.is_some_and(|claimed| claimed != upstream);
-            self.answer(case, &hop, upstream, wrong);
-            return self.deliver(case, upstream);
-        }
-        if self.is_fenced(case.now) {
-            return self.drop_packet(DropCause::Fenced);
-        }
-        let snapshot = Arc::clone(&self.snapshot);
-        let chain = snapshot.chain(case.route, case.bucket);
-        if let Some(chain) = chain.filter(|chain| !chain.contains(self.me)) {
-            // The sender sees other hosts than this one does. A host outside the chain knows too
-            // little to decide.
-            let header = HopHeader { hops: hop.hops + 1, sender: self.me, ..hop };
-            return self.hop_to(case, &snapshot, chain.owner, header);
-        }
-        let upstream = match case.packet.opens() {
-            true => case.slot.opening(),
-            false => claim.unwrap_or(case.slot.unlisted()),
-        };
-        if case.packet.opens() && !case.route.upstream(upstream).is_some_and(|up| up.takes_new) {
-            return self.drop_packet(DropCause::AwaitingMove);
-        }
-        let Some(next) = chain.and_then(|chain| chain.next_after(self.me)) else {
-            self.record(service, case.fingerprint, upstream);
-            self.copy_to_upcoming(&snapshot, case, upstream);
-            return self.deliver(case, upstream);
-        };
-        if case.packet.opens() {
-            // The packet itself carries the new record to the replica: a flow whose record was
-            // lost with its packet has not reached any upstream.
-            self.record(service, case.fingerprint, upstream);
-            self.copy_to_upcoming(&snapshot, case, upstream);
-        }
-        // An older flow that this host does not know may be known to the replica, so it is recorded
-        // here only when the replica says so.
-        let header = HopHeader {
-            stage: HopStage::Replica { verdict: upstream },
-            sender: self.me,
-            generation: snapshot.generation,
-            hops: hop.hops + 1,
-            ..hop
-        };
-        self.hop_to(case, &snapshot, next, header)
-    }
-
-    /// Acts as the replica of a guarded bucket.
-    fn copy_record(&mut self, case: FlowCase<'_>, hop: HopHeader, verdict: u16) -> FlowVerdict {
-        let service = case.route.service;
-        let held = self.records.get(service, case.fingerprint);
-        let upstream = held.unwrap_or(verdict);
-        if held.is_none() {
-            self.record(service, case.fingerprint, verdict);
-            let snapshot = Arc::clone(&self.snapshot);
-            self.copy_to_upcoming(&snapshot, case, verdict);
-        }
-        let conflict = upstream != verdict;
-        self.counters.conflicts += u64::from(conflict);
-        if conflict || !case.packet.opens() {
-            let kind = if conflict { NoteKind::Correction } else { NoteKind::Copy };
-            let lane = self.bucket_lane(case.bucket);
-            self.note(case, hop.sender, lane, upstream, kind);
-        }
-        self.answer(case, &hop, upstream, conflict);
-        self.deliver(case, upstream)
-    }
-
-    /// Sends a new record to the hosts that may be in the chain once they serve.
-    fn copy_to_upcoming(&mut self, snapshot: &RoutingSnapshot, case: FlowCase<'_>, upstream: u16) {
-        if !snapshot.has_upcoming() {
-            return;
-        }
-        for member in &snapshot.members {
-            let upcoming = member.role == OwnerRole::Upcoming && member.host != self.me;
-            if upcoming && snapshot.may_keep(case.route, case.bucket, member) {
-                let lane = self.bucket_lane(case.bucket);
-                self.note(case, member.host, lane, upstream, NoteKind::Copy);
-            }
-        }
-    }
-
-    fn record(&mut self, service: ServiceId, fingerprint: u64, upstream: u16) {
-        let stored = self.records.insert(service, BindingRecord { fingerprint, upstream });
-        self.counters.records_full += u64::from(!stored);
-    }
-
-    /// Answers the asking host, within the budget unless the answer is urgent.
-    fn answer(&mut self, case: FlowCase<'_>, hop: &HopHeader, upstream: u16, urgent: bool) {
-        if hop.asker != self.me && (urgent || self.spend_answer(case.now)) {
-            self.counters.answers += 1;
-            self.note(case, hop.asker, hop.asker_lane, upstream, NoteKind::Answer);
-        }
-    }
-
-    fn note(&mut self, case: FlowCase<'_>, to: HostId, lane: u8, upstream: u16, kind: NoteKind) {
-        let service = case.route.service;
-        let fingerprint = case.fingerprint;
-        let note = FlowNote { kind, service, fingerprint, upstream };
-        self.notes.push(PeerNote { to, lane, note });
-    }
-
-    /// Returns the traffic thread that keeps the records of a bucket.
-    fn bucket_lane(&self, bucket: BucketIndex) -> u8 {
-        (bucket.0 % u32::from(self.options.lanes.max(1))) as u8
-    }
-
-    fn spend_answer(&mut self, now: Duration) -> bool {
-        if self.budget.second != now.as_secs() {
-            self.budget = AnswerBudget { second: now.as_secs(), spent: 0 };
-        }
-        self.budget.spent += 1;
-        self.budget.spent <= self.options.answers_per_second
-    }
-
-    fn hop_to(
+    pub(super) fn hop_to(
         &mut self,
         case: FlowCase<'_>,
         snapshot: &RoutingSnapshot,
@@ -643,7 +495,7 @@
     }
 
     /// Sends a packet to an upstream index, if it may receive this packet.
-    fn deliver(&mut self, case: FlowCase<'_>, upstream: u16) -> FlowVerdict {
+    pub(super) fn deliver(&mut self, case: FlowCase<'_>, upstream: u16) -> FlowVerdict {
         let Some(route) = case.route.upstream(upstream) else {
             return self.drop_packet(DropCause::NoUpstream);
         };
@@ -655,7 +507,7 @@
         FlowVerdict::Tunnel { upstream: route.upstream, address: route.address }
     }
 
-    fn give_up(&mut self, case: FlowCase<'_>) -> FlowVerdict {
+    pub(super) fn give_up(&mut self, case: FlowCase<'_>) -> FlowVerdict {
         self.flows.remove(case.fingerprint);
         if case.packet.opens() || case.packet.flags.rst {
             return self.drop_packet(DropCause::NoUpstream);
@@ -664,7 +516,7 @@
         FlowVerdict::Reset
     }
 
-    fn note_flow(&mut self, case: FlowCase<'_>, upstream: u16) {
+    pub(super) fn note_flow(&mut self, case: FlowCase<'_>, upstream: u16) {
         if case.packet.closes() {
             self.flows.remove(case.fingerprint);
             return;
@@ -678,17 +530,24 @@
         self.remember(case.fingerprint, upstream, tag, case.packet.opens(), case.now);
     }
 
-    fn remember(&mut self, fingerprint: u64, upstream: u16, tag: u8, opening: bool, now: Duration) {
+    pub(super) fn remember(
+        &mut self,
+        fingerprint: u64,
+        upstream: u16,
+        tag: u8,
+        opening: bool,
+        now: Duration,
+    ) {
         let outcome = self.flows.insert(fingerprint, upstream, tag, opening, now);
         self.counters.table_full += u64::from(outcome == InsertOutcome::Full);
     }
 
-    fn guard_tag(&self, service: ServiceId, bucket: BucketIndex) -> u8 {
+    pub(super) fn guard_tag(&self, service: ServiceId, bucket: BucketIndex) -> u8 {
         let tags = self.guard_tags.get(&service);
         tags.and_then(|tags| tags.get(bucket.0 as usize)).copied().unwrap_or_default()
     }
 
-    fn drop_packet(&mut self, cause: DropCause) -> FlowVerdict {
+    pub(super) fn drop_packet(&mut self, cause: DropCause) -> FlowVerdict {
         self.counters.count_drop(cause);
         FlowVerdict::Drop(cause)
     }
@@ -696,7 +555,7 @@
 
 /// `KnownFlow` is what the local table says of a flow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum KnownFlow {
+pub(super) enum KnownFlow {
     /// The flow belongs to this upstream, and the owner of its bucket knows.
     Settled(u16),
     /// The flow belongs to this upstream, and the owner of its bucket must be told.
@@ -708,7 +567,7 @@
 /// Returns the hosts that are in the chain of a bucket by `next` but were not before.
 ///
 /// A member of the old chain sends them its records; where the old chain is gone, any holder does.
-fn chain_newcomers(
+pub(super) fn chain_newcomers(
     before: &RoutingSnapshot,
     old: &ServiceRoute,
     next: &RoutingSnapshot,
--- a/crates/mustardgrade-core/src/membership/mod.rs
+++ b/crates/mustardgrade-core/src/membership/mod.rs
@@ -5,7 +5,10 @@
 
 mod controller;
 mod digest;
+mod joining;
 mod member;
+mod publishing;
+mod settling;
 
 pub use controller::{
     ControllerInput, ControllerOptions, ControllerOutput, FetchedState, HostController,
--- a/crates/mustardgrade-core/src/membership/tests.rs
+++ b/crates/mustardgrade-core/src/membership/tests.rs
@@ -72,7 +72,11 @@
     table.receive(&other);
     table.set_out(vec![DataCentreId(2)]);
     assert_eq!((table.live().count(), table.targets().len()), (0, 0));
+    other.sequence = 2;
+    assert!(!table.receive(&other), "nothing is heard of it while it is out");
     table.set_out(Vec::new());
+    assert_eq!((table.live().count(), table.targets().len()), (0, 0));
+    assert!(table.receive(&other));
     assert_eq!((table.live().count(), table.targets().len()), (1, 1));
 }
 
--- a/crates/mustardgrade-core/src/request/mod.rs
+++ b/crates/mustardgrade-core/src/request/mod.rs
@@ -2,10 +2,13 @@
 //! true.
 
 mod counters;
+mod expiry;
+mod holding;
 mod keeper;
 mod ledger;
 mod limit;
 mod message;
+mod origin;
 mod router;
 mod snapshot;
 mod ticket;
