--- a/crates/mustardgrade-standin/src/world/hosts.rs
+++ b/crates/mustardgrade-standin/src/world/hosts.rs
@@ -45,7 +45,6 @@
     pub(super) held_back: Vec<WorldEvent>,
     pub(super) in_fabric: bool,
     pub(super) is_watcher: bool,
-    pub(super) missed_store: bool,
     pub(super) writing: bool,
     pub(super) flush_due: bool,
     pub(super) last_list: Duration,
@@ -104,7 +103,6 @@
             held_back: Vec::new(),
             in_fabric: true,
             is_watcher: false,
-            missed_store: false,
             writing: false,
             flush_due: false,
             last_list: Duration::ZERO,
@@ -156,8 +154,7 @@
         let was_watcher = self.hosts[host].is_watcher;
         let is_watcher = self.hosts[host].controller.is_watcher();
         self.hosts[host].is_watcher = is_watcher;
-        let missed = std::mem::take(&mut self.hosts[host].missed_store);
-        if is_watcher && (!was_watcher || missed) {
+        if is_watcher && !was_watcher {
             self.schedule_store_read(host);
         }
         if is_watcher && self.now > self.hosts[host].last_list + LIST_INTERVAL {
--- a/crates/mustardgrade-standin/src/world/store.rs
+++ b/crates/mustardgrade-standin/src/world/store.rs
@@ -13,6 +13,9 @@
 /// Delay of a store that is slow.
 const SLOW_DELAY: Duration = Duration::from_secs(1);
 
+/// Pause of a watcher after a failed call; that of real hosts grows to 5 s.
+const RETRY_PAUSE: Duration = Duration::from_secs(5);
+
 /// `VirtualStore` holds the rules and the placement.
 #[derive(Debug, Default)]
 pub(super) struct VirtualStore {
@@ -65,7 +68,9 @@
         self.store.calls += 2;
         let reachable = self.network.reaches_store(self.hosts[host].data_centre);
         if self.store.is_down() || !reachable {
-            self.hosts[host].missed_store = true;
+            if self.hosts[host].is_watcher {
+                self.queue.push(self.now + RETRY_PAUSE, WorldEvent::StoreRead { host, run });
+            }
             return;
         }
         if let Some(rules) = self.store.rules.clone() {
