Introduce a starting host to all that its peer knows

Change: a peer that hands over its state names the hosts it knows; the new host speaks to all of them.

--- a/crates/mustardgrade-core/src/membership/controller.rs
+++ b/crates/mustardgrade-core/src/membership/controller.rs
@@ -79,6 +79,8 @@
     pub rules: Option<StoredRules>,
     /// The peer's placement.
     pub placement: Option<StoredPlacement>,
+    /// Addresses of the hosts that the peer knows.
+    pub hosts: Vec<Ipv4Addr>,
 }
 
 /// `ControllerInput` is an event that the controller decides on.
@@ -90,6 +92,8 @@
     Digest(HostDigest),
     /// The platform's host list has been read.
     Listed(Vec<ListedHost>),
+    /// A peer has named the hosts that it knows.
+    Introduced(Vec<Ipv4Addr>),
     /// Rules have been read from the store or a peer.
     Rules(StoredRules),
     /// A placement has been read from the store or a peer.
@@ -328,6 +332,16 @@
         order.iter().take(WATCHERS_PER_DATA_CENTRE).any(|host| *host == self.options.me.host)
     }
 
+    /// Returns what a host needs that starts from this one.
+    #[must_use]
+    pub fn fetched_state(&self) -> FetchedState {
+        FetchedState {
+            rules: self.rules.clone(),
+            placement: Some(Arc::clone(&self.placement)),
+            hosts: self.members.targets(),
+        }
+    }
+
     // Commands.
 
     /// Takes in one event and appends what must be done to `out`.
@@ -342,6 +356,7 @@
             ControllerInput::Tick => self.tick(now, out),
             ControllerInput::Digest(digest) => self.receive(&digest, now, out),
             ControllerInput::Listed(listed) => self.members.set_listed(listed),
+            ControllerInput::Introduced(addresses) => self.members.introduce(addresses),
             ControllerInput::Rules(rules) => self.take_rules(rules),
             ControllerInput::Placement(placement) => self.take_placement(placement, now),
             ControllerInput::ExceptionsFetched { from, generation } => {
--- a/crates/mustardgrade-core/src/membership/member.rs
+++ b/crates/mustardgrade-core/src/membership/member.rs
@@ -69,6 +69,7 @@
     options: MemberOptions,
     members: BTreeMap<HostId, HostMember>,
     listed: Vec<ListedHost>,
+    introduced: Vec<Ipv4Addr>,
     own_data_centre: DataCentreId,
     out: Vec<DataCentreId>,
     active_time: Duration,
@@ -85,6 +86,7 @@
             options,
             members: BTreeMap::new(),
             listed: Vec::new(),
+            introduced: Vec::new(),
             own_data_centre: data_centre,
             out: Vec::new(),
             active_time: Duration::ZERO,
@@ -117,7 +119,10 @@
         let wanted =
             |listed: &&ListedHost| listed.host != self.me && !self.is_out(listed.data_centre);
         let listed = self.listed.iter().filter(wanted);
-        let mut targets: Vec<Ipv4Addr> = known.chain(listed.map(|listed| listed.address)).collect();
+        let mut targets: Vec<Ipv4Addr> = known
+            .chain(listed.map(|listed| listed.address))
+            .chain(self.introduced.iter().copied())
+            .collect();
         targets.sort_unstable();
         targets.dedup();
         targets
@@ -298,6 +303,13 @@
         true
     }
 
+    /// Takes in the addresses of hosts that a peer knows.
+    ///
+    /// A host that starts while the platform is down finds the others through them.
+    pub fn introduce(&mut self, addresses: Vec<Ipv4Addr>) {
+        self.introduced = addresses;
+    }
+
     /// Takes in the platform's host list, which is only a hint.
     pub fn set_listed(&mut self, listed: Vec<ListedHost>) {
         self.listed = listed;
--- a/crates/mustardgrade-node/src/control/actor.rs
+++ b/crates/mustardgrade-node/src/control/actor.rs
@@ -203,12 +203,6 @@
             log::info!(host = self.links.settings.name.as_str(), state:% = state; "host state");
         }
     }
-
-    /// Returns rules and placement for a host that asks.
-    pub(super) fn fetched_state(&self) -> FetchedState {
-        let rules = self.controller.rules().cloned();
-        FetchedState { rules, placement: Some(Arc::clone(self.controller.placement())) }
-    }
 }
 
 impl Actor for ControlActor {
@@ -315,6 +309,6 @@
         _read: ReadState,
         _context: &mut Context<Self, StateReply>,
     ) -> StateReply {
-        StateReply { document: self.document.clone(), fetched: self.fetched_state() }
+        StateReply { document: self.document.clone(), fetched: self.controller.fetched_state() }
     }
 }
--- a/crates/mustardgrade-node/src/control/effects.rs
+++ b/crates/mustardgrade-node/src/control/effects.rs
@@ -70,7 +70,8 @@
         let me = me.clone();
         tokio::spawn(async move {
             let reply = calls.call(address, &PeerCall::State).await;
-            let Ok(PeerReply::State { revision, rules, placement }) = reply else { return };
+            let Ok(PeerReply::State { revision, rules, placement, hosts }) = reply else { return };
+            let _gone = me.tell(ControllerInput::Introduced(hosts)).await;
             if revision > 0 {
                 let document =
                     RulesDocument { revision, edit: 0, recent_edits: Vec::new(), text: rules };
--- a/crates/mustardgrade-node/src/control/tasks.rs
+++ b/crates/mustardgrade-node/src/control/tasks.rs
@@ -237,13 +237,15 @@
 async fn answer_state(actor: &ActorRef<ControlActor>) -> PeerReply {
     let Ok(state) = actor.ask(ReadState).await else { return PeerReply::Declined };
     let placement = state.fetched.placement.map(|book| (*book).clone()).unwrap_or_default();
+    let hosts = state.fetched.hosts;
     match state.document {
         Some(document) => PeerReply::State {
             revision: document.revision,
             rules: document.text.clone(),
             placement,
+            hosts,
         },
-        None => PeerReply::State { revision: 0, rules: String::new(), placement },
+        None => PeerReply::State { revision: 0, rules: String::new(), placement, hosts },
     }
 }
 
--- a/crates/mustardgrade-standin/src/world/control.rs
+++ b/crates/mustardgrade-standin/src/world/control.rs
@@ -1,7 +1,6 @@
 //! What the controllers of a world decide, carried out.
 
 use std::net::Ipv4Addr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use mustardgrade_core::flow::{FlowNote, PeerNote};
@@ -105,13 +104,16 @@
 
     fn fetch_state(&mut self, host: usize, address: Ipv4Addr) {
         let Some((peer, delay)) = self.call(host, address) else { return };
-        let rules = self.hosts[peer].controller.rules().cloned();
-        let placement = Arc::clone(self.hosts[peer].controller.placement());
+        let fetched = self.hosts[peer].controller.fetched_state();
+        let rules = fetched.rules;
+        let placement = fetched.placement.unwrap_or_default();
         let slots: usize = placement.tables.iter().map(|table| table.slots.len()).sum();
         let text = rules.as_ref().map_or(0, |rules| rules.book.upstreams.len() * 90);
         self.hosts[peer].control_bytes += CALL_BYTES + slots as u64 * 3 + text as u64;
         let run = self.hosts[host].run;
         let at = self.now + delay;
+        let input = Box::new(ControllerInput::Introduced(fetched.hosts));
+        self.queue.push(at, WorldEvent::Control { host, run, input });
         if let Some(rules) = rules {
             let input = Box::new(ControllerInput::Rules(rules));
             self.queue.push(at, WorldEvent::Control { host, run, input });
--- a/crates/mustardgrade-wire/src/peer/message.rs
+++ b/crates/mustardgrade-wire/src/peer/message.rs
@@ -108,6 +108,8 @@
         rules: String,
         /// The placement.
         placement: PlacementBook,
+        /// Addresses of the hosts that the callee knows.
+        hosts: Vec<Ipv4Addr>,
     },
     /// Records by service, as of a generation.
     Records {
