--- a/crates/mustardgrade-standin/src/scenario/mod.rs
+++ b/crates/mustardgrade-standin/src/scenario/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! The grammar is in `docs/SCENARIOS.md`.
 
+mod cursor;
 mod errors;
 mod grammar;
 mod model;
--- a/crates/mustardgrade-standin/src/world/control.rs
+++ b/crates/mustardgrade-standin/src/world/control.rs
@@ -69,11 +69,6 @@
         }
     }
 
-    fn host_at(&self, address: Ipv4Addr) -> Option<usize> {
-        let index = u32::from(address).checked_sub(0x0A00_0001)? as usize;
-        (index < self.hosts.len()).then_some(index)
-    }
-
     fn send_digest(&mut self, host: usize, to: &[Ipv4Addr], digest: &HostDigest) {
         let bytes = digest_bytes(digest);
         for address in to {
--- a/crates/mustardgrade-standin/src/world/flows.rs
+++ b/crates/mustardgrade-standin/src/world/flows.rs
@@ -155,13 +155,7 @@
 
     /// Returns the random host that the fabric hands a packet of a caller to.
     fn pick_host(&mut self, home: DataCentreId) -> Option<usize> {
-        let count = self.hosts.iter().filter(|host| self.takes_from(home, host)).count();
-        if count == 0 {
-            return None;
-        }
-        let chosen = self.random.random_range(0..count);
-        let takers = self.hosts.iter().enumerate().filter(|(_, host)| self.takes_from(home, host));
-        takers.map(|(index, _)| index).nth(chosen)
+        self.draw_host(|world, host| world.takes_from(home, host))
     }
 
     /// Tells whether the fabric may hand a host the packets of a caller.
@@ -184,7 +178,7 @@
             FlowVerdict::Tunnel { upstream, .. } => self.arrive(host, flow, upstream),
             FlowVerdict::Hop { address, header, .. } => {
                 self.tally.hops += 1;
-                let index = u32::from(address).wrapping_sub(0x0A00_0001) as usize;
+                let Some(index) = self.host_at(address) else { return self.retransmit(flow) };
                 let hop = FlowHop { flow, attempt, packet, header, from: host };
                 self.send_hop(index, hop);
             }
@@ -204,8 +198,7 @@
 
     fn send_hop(&mut self, to: usize, hop: FlowHop) {
         let flow = hop.flow;
-        let reached = to < self.hosts.len()
-            && self.hosts[to].alive
+        let reached = self.hosts[to].alive
             && self.hosts[to].paused_until.is_none()
             && self.hosts_connect(hop.from, to);
         if !reached {
--- a/crates/mustardgrade-standin/src/world/hosts.rs
+++ b/crates/mustardgrade-standin/src/world/hosts.rs
@@ -27,6 +27,9 @@
 /// Time after which the fabric hands no more packets to a host that died or leaves.
 const FABRIC_LAG: Duration = Duration::from_secs(1);
 
+/// Address of the first host, 10.0.0.1; the others follow.
+const FIRST_ADDRESS: u32 = 0x0A00_0001;
+
 /// Seed of the fingerprints.
 const FINGERPRINT_SEED: u64 = 7;
 
@@ -62,7 +65,7 @@
     pub(super) fn start_host(&mut self, name: &str, data_centre: &str) {
         let index = self.hosts.len();
         let id = HostId::from_name(name);
-        let address = Ipv4Addr::from(0x0A00_0001 + index as u32);
+        let address = Ipv4Addr::from(FIRST_ADDRESS + index as u32);
         let centre = DataCentreId::from_name(data_centre);
         let alive = self.hosts.iter().filter(|host| host.alive);
         let seeds: Vec<Ipv4Addr> = alive.map(|host| host.address).take(3).collect();
@@ -127,6 +130,26 @@
         self.queue.push(self.now + phase, WorldEvent::Tick { host: index, run });
     }
 
+    /// Returns the host with an address.
+    pub(super) fn host_at(&self, address: Ipv4Addr) -> Option<usize> {
+        let index = u32::from(address).checked_sub(FIRST_ADDRESS)? as usize;
+        (index < self.hosts.len()).then_some(index)
+    }
+
+    /// Returns a random host that `usable` accepts.
+    pub(super) fn draw_host(
+        &mut self,
+        usable: impl Fn(&Self, &VirtualHost) -> bool,
+    ) -> Option<usize> {
+        let count = self.hosts.iter().filter(|host| usable(self, host)).count();
+        if count == 0 {
+            return None;
+        }
+        let chosen = rand::RngExt::random_range(&mut self.random, 0..count);
+        let numbered = self.hosts.iter().enumerate();
+        numbered.filter(|(_, host)| usable(self, host)).map(|(index, _)| index).nth(chosen)
+    }
+
     /// Tells whether a host runs; an event for a paused one must not come here.
     pub(super) fn is_running(&self, host: usize, run: u32) -> bool {
         self.hosts[host].alive && self.hosts[host].run == run
--- a/crates/mustardgrade-standin/src/world/requests.rs
+++ b/crates/mustardgrade-standin/src/world/requests.rs
@@ -215,18 +215,9 @@
 
     /// Returns the random host that the fabric hands a request to.
     fn pick_any_host(&mut self) -> Option<usize> {
-        let usable = |host: &super::VirtualHost| {
-            host.in_fabric && !self.tally.out_since.contains_key(&host.data_centre)
-        };
-        let count = self.hosts.iter().filter(|host| usable(host)).count();
-        if count == 0 {
-            return None;
-        }
-        let chosen = self.random.random_range(0..count);
-        let usable = |host: &super::VirtualHost| {
-            host.in_fabric && !self.tally.out_since.contains_key(&host.data_centre)
-        };
-        (0..self.hosts.len()).filter(|at| usable(&self.hosts[*at])).nth(chosen)
+        self.draw_host(|world, host| {
+            host.in_fabric && !world.tally.out_since.contains_key(&host.data_centre)
+        })
     }
 
     pub(super) fn deliver_request(&mut self, host: usize, run: u32, input: RequestInput) {
@@ -281,8 +272,8 @@
     }
 
     fn send_keeper_message(&mut self, host: usize, address: Ipv4Addr, message: KeeperMessage) {
-        let peer = u32::from(address).wrapping_sub(0x0A00_0001) as usize;
-        if peer >= self.hosts.len() || !self.hosts_connect(host, peer) {
+        let Some(peer) = self.host_at(address) else { return };
+        if !self.hosts_connect(host, peer) {
             return;
         }
         let run = self.hosts[peer].run;
