--- a/crates/mustardgrade-node/src/settings/tests.rs
+++ b/crates/mustardgrade-node/src/settings/tests.rs
@@ -3,6 +3,7 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 
 use expect_test::expect;
+use proptest::prelude::*;
 
 use super::{HostSettings, SettingsReader};
 
@@ -71,3 +72,15 @@
         host.ini:1: section header '[host' lacks its ']'"#]]
     .assert_eq(&report.join("\n"));
 }
+
+proptest! {
+    #[test]
+    fn damaged_settings_are_read_or_refused(at in 0_usize..SAMPLE.len(), junk in "[=\\[\\];x\n]{1,3}") {
+        let text = format!("{}{junk}{}", &SAMPLE[..at], &SAMPLE[at..]);
+        let outcome =
+            SettingsReader::parse("host.ini", &text).and_then(|r| HostSettings::from_reader(&r));
+        if let Err(error) = outcome {
+            prop_assert!(error.to_string().starts_with("host.ini"));
+        }
+    }
+}
