Remove a message nobody sends and a gauge that was always 0

Cause: read once more, the control actor answered ReadStatus, which nothing asks, and known_flows was never written, so it told operators 0. Change: both removed; the remaining held counts move up by one place.

--- a/crates/mustardgrade-node/src/control/actor.rs
+++ b/crates/mustardgrade-node/src/control/actor.rs
@@ -74,10 +74,6 @@
     pub live_hosts: usize,
 }
 
-/// `ReadStatus` asks the control actor for its state.
-#[derive(Debug)]
-pub struct ReadStatus;
-
 /// `StoreRead` tells the control actor what was read from the store.
 #[derive(Debug)]
 pub enum StoreRead {
@@ -269,14 +265,6 @@
     }
 }
 
-impl Message<ReadStatus> for ControlActor {
-    type Reply = String;
-
-    async fn handle(&mut self, _read: ReadStatus, _context: &mut Context<Self, String>) -> String {
-        serde_json::to_string(&self.status()).unwrap_or_default()
-    }
-}
-
 /// `TakeDocument` hands the control actor rules that a peer has in force.
 #[derive(Debug)]
 pub(super) struct TakeDocument(pub(super) RulesDocument);
--- a/crates/mustardgrade-node/src/control/mod.rs
+++ b/crates/mustardgrade-node/src/control/mod.rs
@@ -4,7 +4,7 @@
 mod effects;
 mod tasks;
 
-pub use actor::{ControlActor, ControlLinks, HostStatus, ReadStatus, StoreRead, WriteFinished};
+pub use actor::{ControlActor, ControlLinks, HostStatus, StoreRead, WriteFinished};
 pub use tasks::{
     spawn_call_server, spawn_digest_reader, spawn_store_watch, spawn_ticker, spawn_transfers,
 };
--- a/crates/mustardgrade-node/src/metrics/registry.rs
+++ b/crates/mustardgrade-node/src/metrics/registry.rs
@@ -86,8 +86,8 @@
 pub struct HostMetrics {
     /// One cell for each traffic thread.
     pub lanes: Vec<CounterCell<FlowCounters>>,
-    /// Flows and records held, by traffic thread.
-    pub held: Vec<[AtomicU64; 3]>,
+    /// Records and settled exceptions held, by traffic thread.
+    pub held: Vec<[AtomicU64; 2]>,
     /// The request thread's cell.
     pub requests: CounterCell<RequestCounters>,
     /// Datagrams that could not be read, whatever the reason.
@@ -253,9 +253,8 @@
             ("placement_generation", "Placement in force", load(&metrics.generation)),
             ("guarded_buckets", "Buckets under guard", load(&metrics.guarded_buckets)),
             ("live_hosts", "Live hosts, this one included", load(&metrics.live_hosts)),
-            ("known_flows", "Flows in the local tables", held(0)),
-            ("bucket_records", "Records of guarded buckets", held(1)),
-            ("settled_exceptions", "Settled exceptions", held(2)),
+            ("bucket_records", "Records of guarded buckets", held(0)),
+            ("settled_exceptions", "Settled exceptions", held(1)),
         ];
         for (name, help, value) in gauges {
             let gauge = ConstGauge::new(value);
--- a/crates/mustardgrade-node/src/traffic/lane.rs
+++ b/crates/mustardgrade-node/src/traffic/lane.rs
@@ -335,8 +335,8 @@
         let lane = usize::from(self.settings.options.lane);
         self.metrics.lanes[lane].publish(self.router.counters());
         let held = &self.metrics.held[lane];
-        held[1].store(self.router.records().len() as u64, Ordering::Relaxed);
-        held[2].store(self.router.exceptions().len() as u64, Ordering::Relaxed);
+        held[0].store(self.router.records().len() as u64, Ordering::Relaxed);
+        held[1].store(self.router.exceptions().len() as u64, Ordering::Relaxed);
     }
 
     fn count_malformed(&self) {
