--- /dev/null
+++ b/crates/mustardgrade-core/src/cookie/mod.rs
@@ -0,0 +1,22 @@
+//! Routing by cookie: the upstream of an open flow is named in the packet by a value that both ends
+//! send back, so that any host routes it without state (Cheetah, NSDI 2020).
+
+mod counters;
+mod memo;
+mod picker;
+mod router;
+mod snapshot;
+mod token;
+mod track;
+
+pub use counters::{CookieCounters, DiscardCause, ResetCause};
+pub use memo::{FlowMemo, FlowStage, MemoTable};
+pub use router::{CookieOptions, CookiePacket, CookieRouter, CookieVerdict, FlowEvent};
+pub use snapshot::{
+    CookieMatch, CookieRoute, CookieSnapshot, SnapshotScope, UpstreamView, build_cookie_snapshot,
+};
+pub use token::FlowCookie;
+pub use track::{TrackOptions, UpstreamTrack};
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/mustardgrade-core/src/cookie/picker.rs
@@ -0,0 +1,131 @@
+//! The choice of an upstream for a new flow.
+
+use std::time::Duration;
+
+use super::snapshot::{CookieRoute, CookieSnapshot, UpstreamView};
+use super::track::{TrackOptions, UpstreamTrack};
+use crate::identity::{ServiceId, rendezvous_score};
+
+/// Cost of a request in hand, against that of an open flow: most open flows are idle.
+const WORK_COST: u64 = 16;
+
+/// New flows a second that all hosts together send to one cold upstream beyond its stated rate.
+const COLD_ALLOWANCE: f64 = 1.0;
+
+/// `PickedUpstream` is the upstream chosen for a new flow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct PickedUpstream {
+    /// Position in the snapshot.
+    pub(super) at: usize,
+    /// Whether it is cold.
+    pub(super) cold: bool,
+    /// Whether it stands in another data centre.
+    pub(super) spilled: bool,
+}
+
+/// `UpstreamPicker` chooses among the upstreams of a snapshot.
+pub(super) struct UpstreamPicker<'a> {
+    pub(super) snapshot: &'a CookieSnapshot,
+    pub(super) tracks: &'a mut [UpstreamTrack],
+    pub(super) options: &'a TrackOptions,
+    pub(super) now: Duration,
+}
+
+impl UpstreamPicker<'_> {
+    /// Chooses the service of a new flow by the weights of the route.
+    pub(super) fn service(route: &CookieRoute, fingerprint: u64) -> Option<ServiceId> {
+        let total: u64 = route.plan.backends.iter().map(|b| u64::from(b.weight)).sum();
+        let mut drawn = fingerprint.checked_rem(total)?;
+        for backend in &route.plan.backends {
+            let weight = u64::from(backend.weight);
+            if drawn < weight {
+                return Some(backend.service);
+            }
+            drawn -= weight;
+        }
+        None
+    }
+
+    /// Chooses an upstream of `service`, other than `avoid`.
+    pub(super) fn pick(
+        &mut self,
+        service: ServiceId,
+        fingerprint: u64,
+        avoid: Option<usize>,
+    ) -> Option<PickedUpstream> {
+        let candidates = self.snapshot.by_service.get(&service)?;
+        let usable = |at: &&usize| {
+            Some(**at) != avoid && self.snapshot.upstreams[**at].takes_flows(self.now)
+        };
+        let candidates: Vec<usize> = candidates.iter().filter(usable).copied().collect();
+        if let Some(at) = self.trial(&candidates) {
+            return Some(self.picked(at, false));
+        }
+        if let Some(at) = self.cheapest(&candidates, fingerprint) {
+            return Some(self.picked(at, false));
+        }
+        if let Some(at) = self.cold(&candidates, fingerprint) {
+            return Some(self.picked(at, true));
+        }
+        // Every warm upstream is suspected: one of them may live all the same.
+        let warm = candidates.iter().copied().filter(|at| !self.view(*at).is_cold(self.now));
+        let at = warm.max_by_key(|at| rendezvous_score(fingerprint, self.view(*at).tag))?;
+        Some(self.picked(at, false))
+    }
+
+    fn view(&self, at: usize) -> &UpstreamView {
+        &self.snapshot.upstreams[at]
+    }
+
+    fn picked(&self, at: usize, cold: bool) -> PickedUpstream {
+        PickedUpstream { at, cold, spilled: !self.view(at).local }
+    }
+
+    /// Returns a suspected upstream that is due to be tried.
+    fn trial(&mut self, candidates: &[usize]) -> Option<usize> {
+        let due = candidates.iter().copied().find(|at| {
+            let track = &self.tracks[*at];
+            track.is_suspected(self.options)
+                && track.may_try(self.options, self.now)
+                && !self.view(*at).is_cold(self.now)
+        })?;
+        self.tracks[due].tried = self.now;
+        Some(due)
+    }
+
+    /// Returns the warm, unsuspected upstream with the least work, of this data centre if any is.
+    fn cheapest(&self, candidates: &[usize], fingerprint: u64) -> Option<usize> {
+        let sound = candidates.iter().copied().filter(|at| {
+            !self.view(*at).is_cold(self.now) && !self.tracks[*at].is_suspected(self.options)
+        });
+        sound.min_by_key(|at| {
+            let view = self.view(*at);
+            let score = rendezvous_score(fingerprint, view.tag);
+            (!view.local, self.cost(*at), std::cmp::Reverse(score))
+        })
+    }
+
+    fn cost(&self, at: usize) -> u64 {
+        let track = &self.tracks[at];
+        let load = u64::from(track.work()) * WORK_COST + u64::from(track.open);
+        load * 64 / u64::from(self.view(at).slots)
+    }
+
+    /// Returns a cold upstream whose shared budget allows this host one more flow now.
+    fn cold(&mut self, candidates: &[usize], fingerprint: u64) -> Option<usize> {
+        if self.snapshot.hosts == 0 {
+            return None;
+        }
+        let cold = candidates.iter().copied().filter(|at| self.view(*at).is_cold(self.now));
+        let at = cold
+            .filter(|at| self.now >= self.tracks[*at].next_cold)
+            .max_by_key(|at| rendezvous_score(fingerprint, self.view(*at).tag))?;
+        let rate = (self.view(at).cold_rate + COLD_ALLOWANCE) / self.snapshot.hosts as f64;
+        let interval = Duration::from_secs_f64(1.0 / rate);
+        let first = self.tracks[at].next_cold.is_zero();
+        // The first flow waits for a random part of the interval, so that hosts spread out.
+        let share = if first { (fingerprint % 1_024) as f64 / 1_024.0 } else { 1.0 };
+        self.tracks[at].next_cold = self.now + interval.mul_f64(share);
+        (!first).then_some(at)
+    }
+}
--- /dev/null
+++ b/crates/mustardgrade-core/src/cookie/router.rs
@@ -0,0 +1,528 @@
+//! The cookie router: one for each traffic thread.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::counters::{CookieCounters, DiscardCause, ResetCause};
+use super::memo::{FlowMemo, FlowStage, MemoTable};
+use super::picker::UpstreamPicker;
+use super::snapshot::{CookieMatch, CookieRoute, CookieSnapshot};
+use super::token::FlowCookie;
+use super::track::{TrackOptions, UpstreamTrack};
+use crate::flow::{FlowKey, FlowPacket};
+use crate::registry::RepeatPolicy;
+
+/// Time between two rounds of forgetting idle flows.
+const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Pause of the whole thread after which nothing is concluded from missing answers.
+const STALL_TIME: Duration = Duration::from_millis(250);
+
+/// Time after which a payload that is sent again counts as unanswered.
+const REPEAT_TIME: Duration = Duration::from_millis(150);
+
+/// Idle time of flows while no manifest states one.
+const DEFAULT_IDLE: Duration = Duration::from_secs(60);
+
+/// `CookiePacket` is a caller's segment with the cookie that it carries.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CookiePacket {
+    /// The segment.
+    pub segment: FlowPacket,
+    /// The last cookie that the caller received on the flow.
+    pub cookie: FlowCookie,
+}
+
+/// `CookieOptions` are the settings of a [`CookieRouter`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CookieOptions {
+    /// Flows that the host remembers.
+    pub flow_capacity: usize,
+    /// Bounds of suspicion.
+    pub track: TrackOptions,
+}
+
+impl Default for CookieOptions {
+    fn default() -> Self {
+        Self { flow_capacity: 65_536, track: TrackOptions::default() }
+    }
+}
+
+/// `CookieVerdict` says what becomes of a packet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CookieVerdict {
+    /// The packet goes to an upstream, with a cookie.
+    Forward {
+        /// Position of the upstream in the snapshot in force.
+        at: usize,
+        /// The cookie to write.
+        cookie: FlowCookie,
+    },
+    /// The caller gets a reset.
+    Reset(ResetCause),
+    /// The packet is dropped and counted.
+    Drop(DiscardCause),
+}
+
+/// `FlowEvent` is a decision worth a line in the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FlowEvent {
+    /// A new flow was given an upstream.
+    Opened {
+        /// The flow.
+        key: FlowKey,
+        /// Its upstream.
+        cookie: FlowCookie,
+        /// Work in hand there, before.
+        work: u32,
+        /// Number of the copy of the opening.
+        copy: u32,
+        /// Whether the upstream is cold.
+        cold: bool,
+        /// Whether it stands in another data centre.
+        spilled: bool,
+    },
+    /// A copy of an opening went to another upstream than the first one.
+    Redirected {
+        /// The flow.
+        key: FlowKey,
+        /// The first upstream.
+        from: FlowCookie,
+        /// The new one.
+        to: FlowCookie,
+    },
+    /// A caller got a reset.
+    Reset {
+        /// The flow.
+        key: FlowKey,
+        /// Its upstream, if any.
+        cookie: FlowCookie,
+        /// Why.
+        cause: ResetCause,
+    },
+    /// An upstream is taken for silent.
+    Suspected {
+        /// The upstream.
+        cookie: FlowCookie,
+        /// Flows without an answer.
+        unanswered: u32,
+        /// Time since its last sign of life.
+        silent: Duration,
+    },
+    /// A suspected upstream has shown a sign of life.
+    Cleared {
+        /// The upstream.
+        cookie: FlowCookie,
+    },
+    /// An open flow's packet was dropped.
+    Discarded {
+        /// The flow.
+        key: FlowKey,
+        /// The packet's cookie.
+        cookie: FlowCookie,
+        /// Why.
+        cause: DiscardCause,
+    },
+}
+
+/// `CookieRouter` decides on each packet of a caller.
+#[derive(Debug)]
+pub struct CookieRouter {
+    options: CookieOptions,
+    snapshot: Arc<CookieSnapshot>,
+    tracks: Vec<UpstreamTrack>,
+    memos: MemoTable,
+    pending: VecDeque<(Duration, FlowKey)>,
+    counters: CookieCounters,
+    events: Vec<FlowEvent>,
+    swept: Duration,
+    expired: Duration,
+}
+
+impl CookieRouter {
+    /// Creates a router that knows nothing yet.
+    #[must_use]
+    pub fn new(options: CookieOptions) -> Self {
+        Self {
+            memos: MemoTable::new(options.flow_capacity),
+            options,
+            snapshot: Arc::new(CookieSnapshot::default()),
+            tracks: Vec::new(),
+            pending: VecDeque::new(),
+            counters: CookieCounters::default(),
+            events: Vec::new(),
+            swept: Duration::ZERO,
+            expired: Duration::ZERO,
+        }
+    }
+
+    /// Returns the totals.
+    #[must_use]
+    pub fn counters(&self) -> &CookieCounters {
+        &self.counters
+    }
+
+    /// Returns the snapshot in force.
+    #[must_use]
+    pub fn snapshot(&self) -> &Arc<CookieSnapshot> {
+        &self.snapshot
+    }
+
+    /// Returns what is inferred of each upstream of the snapshot, in its order.
+    #[must_use]
+    pub fn tracks(&self) -> &[UpstreamTrack] {
+        &self.tracks
+    }
+
+    /// Returns the number of flows that the host remembers.
+    #[must_use]
+    pub fn known_flows(&self) -> usize {
+        self.memos.len()
+    }
+
+    /// Tells whether the router waits for the answer to an opening.
+    #[must_use]
+    pub fn awaits_answers(&self) -> bool {
+        !self.pending.is_empty()
+    }
+
+    /// Moves the events since the last call to `events`.
+    pub fn take_events(&mut self, events: &mut Vec<FlowEvent>) {
+        events.append(&mut self.events);
+    }
+
+    /// Puts a snapshot in force; what is known of upstreams that stay is kept.
+    pub fn install(&mut self, snapshot: Arc<CookieSnapshot>) {
+        let known: HashMap<FlowCookie, UpstreamTrack> =
+            self.tracks.iter().map(|track| (track.cookie, *track)).collect();
+        let track = |cookie| known.get(&cookie).copied().unwrap_or(UpstreamTrack::new(cookie));
+        self.tracks = snapshot.upstreams.iter().map(|view| track(view.cookie)).collect();
+        self.snapshot = snapshot;
+    }
+
+    /// Decides on a packet.
+    pub fn route(&mut self, packet: &CookiePacket, now: Duration) -> CookieVerdict {
+        let snapshot = Arc::clone(&self.snapshot);
+        let verdict = match snapshot.loaded {
+            false => CookieVerdict::Drop(DiscardCause::NotLoaded),
+            true if packet.segment.opens() => self.open(&snapshot, packet, now),
+            true => self.follow(&snapshot, packet, now),
+        };
+        self.count(&verdict, packet);
+        verdict
+    }
+
+    /// Concludes from answers that are missing, and forgets idle flows.
+    ///
+    /// To be called when every packet that has arrived is routed.
+    pub fn sweep(&mut self, now: Duration) {
+        let stalled = now.saturating_sub(self.swept) > STALL_TIME;
+        self.swept = now;
+        if stalled {
+            // Answers may have been lost or delayed at this host itself.
+            self.pending.clear();
+        }
+        let patience = self.options.track.opening_patience;
+        while let Some((sent, key)) = self.pending.front().copied() {
+            if now.saturating_sub(sent) < patience {
+                break;
+            }
+            self.pending.pop_front();
+            self.note_missing(&key, sent, now);
+        }
+        if now.saturating_sub(self.expired) >= EXPIRY_INTERVAL {
+            self.expired = now;
+            self.expire(now);
+        }
+    }
+
+    fn count(&mut self, verdict: &CookieVerdict, packet: &CookiePacket) {
+        match verdict {
+            CookieVerdict::Forward { .. } => self.counters.forwarded += 1,
+            CookieVerdict::Reset(cause) => {
+                match packet.segment.opens() {
+                    true => self.counters.refused += 1,
+                    false => self.counters.reset += 1,
+                }
+                let (key, cookie) = (packet.segment.key, packet.cookie);
+                self.events.push(FlowEvent::Reset { key, cookie, cause: *cause });
+            }
+            CookieVerdict::Drop(cause) => {
+                self.counters.dropped += 1;
+                let (key, cookie) = (packet.segment.key, packet.cookie);
+                self.events.push(FlowEvent::Discarded { key, cookie, cause: *cause });
+            }
+        }
+    }
+
+    /// Decides on an opening or a copy of one.
+    fn open(
+        &mut self,
+        snapshot: &CookieSnapshot,
+        packet: &CookiePacket,
+        now: Duration,
+    ) -> CookieVerdict {
+        let segment = &packet.segment;
+        // Callers number the copies of an opening in its acknowledgement field.
+        let copy = segment.acknowledgement;
+        let Some(route) = snapshot.routes.get(&segment.key.service) else {
+            // A manifest that adds the route may be on its way; the copies will tell.
+            return match copy {
+                0 => CookieVerdict::Drop(DiscardCause::UnknownRoute),
+                _ => CookieVerdict::Reset(ResetCause::NoRoute),
+            };
+        };
+        let first = self.first_choice(snapshot, segment, copy, now);
+        if let Some((at, true)) = first {
+            return self.open_at(snapshot, at, segment, now);
+        }
+        let fingerprint = segment.key.fingerprint(0);
+        let mut picker = UpstreamPicker {
+            snapshot,
+            tracks: &mut self.tracks,
+            options: &self.options.track,
+            now,
+        };
+        let service = UpstreamPicker::service(route, fingerprint);
+        let avoid = first.map(|(at, _)| at);
+        let picked = service.and_then(|service| picker.pick(service, fingerprint, avoid));
+        let Some(picked) = picked else {
+            return match first {
+                Some((at, _)) => self.open_at(snapshot, at, segment, now),
+                None => CookieVerdict::Reset(ResetCause::NoUpstream),
+            };
+        };
+        let key = segment.key;
+        let cookie = snapshot.upstreams[picked.at].cookie;
+        if let Some(from) = avoid.map(|at| snapshot.upstreams[at].cookie) {
+            self.counters.redirected += 1;
+            self.events.push(FlowEvent::Redirected { key, from, to: cookie });
+        }
+        self.counters.opened += 1;
+        self.counters.opened_cold += u64::from(picked.cold);
+        self.counters.spilled += u64::from(picked.spilled);
+        self.events.push(FlowEvent::Opened {
+            key,
+            cookie,
+            work: self.tracks[picked.at].work(),
+            copy,
+            cold: picked.cold,
+            spilled: picked.spilled,
+        });
+        self.open_at(snapshot, picked.at, segment, now)
+    }
+
+    /// Returns the upstream of an earlier copy and whether this copy shall go there as well.
+    fn first_choice(
+        &mut self,
+        snapshot: &CookieSnapshot,
+        segment: &FlowPacket,
+        copy: u32,
+        now: Duration,
+    ) -> Option<(usize, bool)> {
+        let memo = *self.memos.get(&segment.key)?;
+        if copy == 0 && memo.stage == FlowStage::Open {
+            self.forget(&segment.key);
+            return None;
+        }
+        let CookieMatch::Upstream(at) = snapshot.find(memo.cookie) else { return None };
+        let view = &snapshot.upstreams[at];
+        let track = &self.tracks[at];
+        let lives = track.alive > memo.opened;
+        let keep = memo.stage == FlowStage::Open || copy == 0 || lives;
+        Some((at, keep && view.takes_flows(now)))
+    }
+
+    fn open_at(
+        &mut self,
+        snapshot: &CookieSnapshot,
+        at: usize,
+        segment: &FlowPacket,
+        now: Duration,
+    ) -> CookieVerdict {
+        let cookie = snapshot.upstreams[at].cookie;
+        let known = self.memos.get(&segment.key).copied();
+        if known.is_some_and(|memo| memo.stage == FlowStage::Open) {
+            return CookieVerdict::Forward { at, cookie };
+        }
+        if known.is_some() {
+            self.forget(&segment.key);
+        }
+        if self.memos.insert(segment.key, FlowMemo::opening(cookie, segment, now)) {
+            self.tracks[at].opening += 1;
+            self.pending.push_back((now, segment.key));
+        }
+        CookieVerdict::Forward { at, cookie }
+    }
+
+    /// Decides on a packet of an open flow.
+    fn follow(
+        &mut self,
+        snapshot: &CookieSnapshot,
+        packet: &CookiePacket,
+        now: Duration,
+    ) -> CookieVerdict {
+        let segment = &packet.segment;
+        let Some(route) = snapshot.routes.get(&segment.key.service) else {
+            return match snapshot.dropped.contains(&segment.key.service) {
+                true => CookieVerdict::Reset(ResetCause::RouteDropped),
+                false => CookieVerdict::Drop(DiscardCause::UnknownRoute),
+            };
+        };
+        let CookieMatch::Upstream(at) = snapshot.find(packet.cookie) else {
+            return CookieVerdict::Drop(DiscardCause::UnknownCookie);
+        };
+        let view = &snapshot.upstreams[at];
+        if !route.services.contains(&view.service) {
+            return CookieVerdict::Drop(DiscardCause::ForeignCookie);
+        }
+        self.observe(at, packet, view.cookie, now);
+        if view.is_gone(now) {
+            return self.give_up(route, segment);
+        }
+        if segment.closes() {
+            self.forget(&segment.key);
+        }
+        CookieVerdict::Forward { at, cookie: packet.cookie }
+    }
+
+    /// Ends a flow whose upstream is gone, where that helps its caller.
+    fn give_up(&mut self, route: &CookieRoute, segment: &FlowPacket) -> CookieVerdict {
+        let memo = self.forget(&segment.key);
+        let carried = memo.is_none_or(|memo| memo.carried_data);
+        let helps = route.plan.repeat == RepeatPolicy::Idempotent || !carried;
+        match helps && !segment.flags.rst {
+            true => CookieVerdict::Reset(ResetCause::UpstreamGone),
+            false => CookieVerdict::Drop(DiscardCause::Unreachable),
+        }
+    }
+
+    /// Learns from a packet of an open flow.
+    fn observe(&mut self, at: usize, packet: &CookiePacket, cookie: FlowCookie, now: Duration) {
+        let segment = &packet.segment;
+        let known = self.memos.get(&segment.key).copied();
+        let mut memo = match known {
+            Some(memo) if memo.cookie == cookie => memo,
+            Some(_) | None => {
+                self.forget(&segment.key);
+                let memo = FlowMemo::adopted(cookie, segment, now);
+                if !self.memos.insert(segment.key, memo) {
+                    return;
+                }
+                self.tracks[at].open += 1;
+                memo
+            }
+        };
+        let answered = memo.stage == FlowStage::Opening
+            || segment.acknowledgement.wrapping_sub(memo.acknowledged) as i32 > 0;
+        if memo.stage == FlowStage::Opening {
+            memo.stage = FlowStage::Open;
+            self.tracks[at].opening = self.tracks[at].opening.saturating_sub(1);
+            self.tracks[at].open += 1;
+        }
+        if answered {
+            memo.acknowledged = segment.acknowledgement;
+            memo.unanswered = false;
+            if memo.request.take().is_some() {
+                self.tracks[at].busy = self.tracks[at].busy.saturating_sub(1);
+            }
+            self.note_alive(at, now);
+        }
+        if segment.payload_length > 0 {
+            self.observe_payload(at, &mut memo, segment, now);
+        }
+        memo.seen = now;
+        if let Some(entry) = self.memos.get_mut(&segment.key) {
+            *entry = memo;
+        }
+    }
+
+    fn observe_payload(
+        &mut self,
+        at: usize,
+        memo: &mut FlowMemo,
+        segment: &FlowPacket,
+        now: Duration,
+    ) {
+        let end = segment.sequence.wrapping_add(u32::from(segment.payload_length));
+        let fresh = end.wrapping_sub(memo.data_end) as i32 > 0;
+        if fresh {
+            memo.data_end = end;
+            memo.carried_data = true;
+            if memo.request.is_none() {
+                memo.request = Some(now);
+                self.tracks[at].busy += 1;
+            }
+            return;
+        }
+        let Some(sent) = memo.request else { return };
+        if !memo.unanswered && now.saturating_sub(sent) >= REPEAT_TIME {
+            memo.unanswered = true;
+            self.note_unanswered(at, sent, now);
+        }
+    }
+
+    fn note_alive(&mut self, at: usize, now: Duration) {
+        let track = &mut self.tracks[at];
+        if track.is_suspected(&self.options.track) {
+            self.events.push(FlowEvent::Cleared { cookie: track.cookie });
+        }
+        track.note_alive(now);
+    }
+
+    fn note_unanswered(&mut self, at: usize, sent: Duration, now: Duration) {
+        let track = &mut self.tracks[at];
+        if track.note_unanswered(sent, &self.options.track) {
+            self.counters.suspicions += 1;
+            self.events.push(FlowEvent::Suspected {
+                cookie: track.cookie,
+                unanswered: track.unanswered,
+                silent: now.saturating_sub(track.alive),
+            });
+        }
+    }
+
+    fn note_missing(&mut self, key: &FlowKey, sent: Duration, now: Duration) {
+        let Some(memo) = self.memos.get(key).copied() else { return };
+        if memo.stage != FlowStage::Opening || memo.opened != sent {
+            return;
+        }
+        if let CookieMatch::Upstream(at) = self.snapshot.find(memo.cookie) {
+            self.note_unanswered(at, sent, now);
+        }
+    }
+
+    fn forget(&mut self, key: &FlowKey) -> Option<FlowMemo> {
+        let memo = self.memos.remove(key)?;
+        release(&self.snapshot, &mut self.tracks, &memo);
+        Some(memo)
+    }
+
+    fn expire(&mut self, now: Duration) {
+        let idle = match self.snapshot.idle_timeout.is_zero() {
+            true => DEFAULT_IDLE,
+            false => self.snapshot.idle_timeout,
+        };
+        let snapshot = Arc::clone(&self.snapshot);
+        let tracks = &mut self.tracks;
+        self.memos.expire(idle, now, |memo| release(&snapshot, tracks, memo));
+    }
+}
+
+/// Takes a flow out of what is counted for its upstream.
+fn release(snapshot: &CookieSnapshot, tracks: &mut [UpstreamTrack], memo: &FlowMemo) {
+    let CookieMatch::Upstream(at) = snapshot.find(memo.cookie) else { return };
+    let track = &mut tracks[at];
+    match memo.stage {
+        FlowStage::Opening => track.opening = track.opening.saturating_sub(1),
+        FlowStage::Open => track.open = track.open.saturating_sub(1),
+    }
+    if memo.request.is_some() {
+        track.busy = track.busy.saturating_sub(1);
+    }
+}
--- /dev/null
+++ b/crates/mustardgrade-core/src/cookie/snapshot.rs
@@ -0,0 +1,300 @@
+//! What a traffic thread needs to know, built from the registry whenever that changes.
+
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use super::token::FlowCookie;
+use crate::identity::{DataCentreId, ServiceId};
+use crate::registry::{
+    Manifest, ReportedState, RouteBackend, RoutePlan, StateBook, StateItem, StateKey, StateValue,
+    UpstreamReport,
+};
+
+/// Time for which an upstream that was removed by an outage of the store may come back.
+const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
+
+/// Time after a removal before flows of the upstream are given up; late reports arrive within it.
+const GONE_GRACE: Duration = Duration::from_millis(2_500);
+
+/// Time for which an upstream's own report of its coldness may lag behind.
+const COLD_REPORT_LAG: Duration = Duration::from_millis(500);
+
+/// `UpstreamView` is one run of an upstream as traffic threads see it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct UpstreamView {
+    /// Cookie of its flows.
+    pub cookie: FlowCookie,
+    /// Configured name, for logs.
+    pub name: String,
+    /// Number by which packets name it.
+    pub tag: u64,
+    /// Where it receives packets.
+    pub address: SocketAddrV4,
+    /// The service that it runs.
+    pub service: ServiceId,
+    /// The data centre that it stands in.
+    pub data_centre: DataCentreId,
+    /// Whether it stands in the data centre of the host.
+    pub local: bool,
+    /// Requests that it runs at a time.
+    pub slots: u16,
+    /// When it stops being cold.
+    pub warm_at: Duration,
+    /// Until when it takes new flows.
+    pub takes_until: Duration,
+    /// Since when it is known to be gone.
+    pub gone_at: Option<Duration>,
+    /// Requests a second that it bears while cold.
+    pub cold_rate: f64,
+}
+
+impl UpstreamView {
+    /// Tells whether the upstream takes new flows, cold or not.
+    #[must_use]
+    pub fn takes_flows(&self, now: Duration) -> bool {
+        now < self.takes_until
+    }
+
+    /// Tells whether the upstream is still cold.
+    #[must_use]
+    pub fn is_cold(&self, now: Duration) -> bool {
+        now < self.warm_at
+    }
+
+    /// Tells whether the upstream is known to be gone.
+    #[must_use]
+    pub fn is_gone(&self, now: Duration) -> bool {
+        self.gone_at.is_some_and(|at| now >= at)
+    }
+}
+
+/// `CookieRoute` is a route as traffic threads see it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct CookieRoute {
+    /// The plan of the route.
+    pub plan: RoutePlan,
+    /// Services that the route leads to or led to before; open flows may be there.
+    pub services: HashSet<ServiceId>,
+}
+
+/// `CookieMatch` is what a cookie stands for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CookieMatch {
+    /// Position of the upstream in the snapshot.
+    Upstream(usize),
+    /// No known upstream has the cookie.
+    Unknown,
+}
+
+/// `CookieSnapshot` is all that a traffic thread needs to know.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct CookieSnapshot {
+    /// Whether routes and upstreams are known.
+    pub loaded: bool,
+    /// Version of the manifest.
+    pub version: u64,
+    /// Revision of the store.
+    pub revision: u64,
+    /// Time after which a silent flow is forgotten.
+    pub idle_timeout: Duration,
+    /// Routes by address.
+    pub routes: HashMap<SocketAddrV4, CookieRoute>,
+    /// Addresses whose route a manifest dropped.
+    pub dropped: HashSet<SocketAddrV4>,
+    /// All upstreams, gone ones included while flows may remember them.
+    pub upstreams: Vec<UpstreamView>,
+    /// Positions of upstreams by service.
+    pub by_service: HashMap<ServiceId, Vec<usize>>,
+    /// Hosts of the fleet, for budgets that are shared; 0 while they are not counted yet.
+    pub hosts: usize,
+    by_cookie: HashMap<FlowCookie, usize>,
+}
+
+impl CookieSnapshot {
+    /// Returns what a cookie stands for.
+    #[must_use]
+    pub fn find(&self, cookie: FlowCookie) -> CookieMatch {
+        match self.by_cookie.get(&cookie) {
+            Some(at) => CookieMatch::Upstream(*at),
+            None => CookieMatch::Unknown,
+        }
+    }
+}
+
+/// `SnapshotScope` is what a snapshot depends on besides the registry.
+#[derive(Debug, Clone, Default)]
+pub struct SnapshotScope {
+    /// The data centre of the host.
+    pub data_centre: Option<DataCentreId>,
+    /// Live hosts of the fleet, this one included.
+    pub hosts: usize,
+    /// Every service that a route has led to, by the route's address.
+    pub led_to: HashMap<SocketAddrV4, HashSet<ServiceId>>,
+    /// Addresses whose route a manifest dropped.
+    pub dropped: HashSet<SocketAddrV4>,
+    /// Ends of past evacuations, by data centre.
+    pub returned: HashMap<DataCentreId, Duration>,
+}
+
+/// Builds the snapshot of a registry.
+#[must_use]
+pub fn build_cookie_snapshot(book: &StateBook, scope: &SnapshotScope) -> CookieSnapshot {
+    let Some(manifest) = book.manifest() else { return CookieSnapshot::default() };
+    let evacuated = evacuated_data_centres(book);
+    let mut upstreams: Vec<UpstreamView> = book
+        .items()
+        .filter_map(|(_, item)| upstream_view(item, manifest, scope, &evacuated))
+        .collect();
+    upstreams.sort_by_key(|view| (view.service, view.tag));
+    close_shared_addresses(&mut upstreams, book);
+    let by_cookie = index_cookies(&mut upstreams, book);
+    let mut by_service: HashMap<ServiceId, Vec<usize>> = HashMap::new();
+    for (at, view) in upstreams.iter().enumerate() {
+        by_service.entry(view.service).or_default().push(at);
+    }
+    CookieSnapshot {
+        loaded: true,
+        version: manifest.version,
+        revision: book.revision(),
+        idle_timeout: manifest.idle_timeout,
+        routes: manifest.routes.iter().map(|plan| (plan.address, route(plan, scope))).collect(),
+        dropped: scope.dropped.clone(),
+        upstreams,
+        by_service,
+        hosts: scope.hosts,
+        by_cookie,
+    }
+}
+
+fn route(plan: &RoutePlan, scope: &SnapshotScope) -> CookieRoute {
+    let mut services = scope.led_to.get(&plan.address).cloned().unwrap_or_default();
+    services.extend(plan.backends.iter().map(|backend: &RouteBackend| backend.service));
+    CookieRoute { plan: plan.clone(), services }
+}
+
+fn evacuated_data_centres(book: &StateBook) -> HashSet<DataCentreId> {
+    let evacuated = book.items().filter_map(|(key, item)| match (key, &item.value) {
+        (StateKey::Evacuation(name), StateValue::Evacuated) => Some(DataCentreId::from_name(name)),
+        _ => None,
+    });
+    evacuated.collect()
+}
+
+fn upstream_view(
+    item: &StateItem,
+    manifest: &Manifest,
+    scope: &SnapshotScope,
+    evacuated: &HashSet<DataCentreId>,
+) -> Option<UpstreamView> {
+    let (report, removed) = match &item.value {
+        StateValue::Upstream(report) => (report, None),
+        StateValue::Removed { lapsed } => (item.before.as_ref()?, Some(*lapsed)),
+        StateValue::Unusable => (item.before.as_ref()?, Some(false)),
+        StateValue::Manifest(_) | StateValue::Evacuated => return None,
+    };
+    let plan = manifest.service(report.service);
+    let ready = report.state == ReportedState::Ready && !evacuated.contains(&report.data_centre);
+    let takes_until = match removed {
+        None if ready => Duration::MAX,
+        Some(true) if ready => item.learned + LAPSE_GRACE,
+        None | Some(_) => Duration::ZERO,
+    };
+    let gone = removed.is_some() && !matches!(item.value, StateValue::Unusable);
+    let cold_end = match report.cold_left.is_zero() || removed.is_some() {
+        true => Duration::ZERO,
+        false => item.learned + report.cold_left,
+    };
+    let returned = scope.returned.get(&report.data_centre);
+    let back_end = returned.map_or(Duration::ZERO, |at| {
+        *at + plan.map_or(Duration::ZERO, |plan| plan.cold_time) + COLD_REPORT_LAG
+    });
+    Some(UpstreamView {
+        cookie: FlowCookie::derive(report.tag, report.incarnation),
+        name: report.name.clone(),
+        tag: report.tag,
+        address: report.address,
+        service: report.service,
+        data_centre: report.data_centre,
+        local: scope.data_centre == Some(report.data_centre),
+        slots: report.slots.max(1),
+        warm_at: cold_end.max(back_end),
+        takes_until,
+        gone_at: gone.then_some(item.learned + GONE_GRACE),
+        cold_rate: plan.map_or(0.0, |plan| plan.cold_rate),
+    })
+}
+
+/// Keeps new flows from an upstream whose address a younger one has taken over.
+fn close_shared_addresses(upstreams: &mut [UpstreamView], book: &StateBook) {
+    let mut youngest: HashMap<SocketAddrV4, (u64, u64)> = HashMap::new();
+    let starts = incarnations(book);
+    for view in upstreams.iter().filter(|view| view.gone_at.is_none()) {
+        let start = (starts.get(&view.cookie).copied().unwrap_or_default(), view.tag);
+        let known = youngest.entry(view.address).or_insert(start);
+        *known = start.max(*known);
+    }
+    for view in upstreams.iter_mut() {
+        let taken = youngest.get(&view.address).is_some_and(|(_, tag)| *tag != view.tag);
+        if taken {
+            view.takes_until = Duration::ZERO;
+        }
+    }
+}
+
+/// Indexes cookies; of two upstreams with one cookie the older keeps it, the younger gets no flows.
+fn index_cookies(upstreams: &mut [UpstreamView], book: &StateBook) -> HashMap<FlowCookie, usize> {
+    let starts: HashMap<u64, u64> = reports(book).map(|r| (r.tag, r.incarnation)).collect();
+    let start = |tag: u64| (starts.get(&tag).copied().unwrap_or_default(), tag);
+    let mut index: HashMap<FlowCookie, usize> = HashMap::new();
+    for at in 0..upstreams.len() {
+        let cookie = upstreams[at].cookie;
+        let Some(&other) = index.get(&cookie) else {
+            index.insert(cookie, at);
+            continue;
+        };
+        let younger = match start(upstreams[at].tag) < start(upstreams[other].tag) {
+            true => {
+                index.insert(cookie, at);
+                other
+            }
+            false => at,
+        };
+        upstreams[younger].takes_until = Duration::ZERO;
+    }
+    index_former_runs(&mut index, upstreams, book);
+    index
+}
+
+/// Leads cookies of an upstream's former run to its present one, which ends such flows itself.
+fn index_former_runs(
+    index: &mut HashMap<FlowCookie, usize>,
+    upstreams: &[UpstreamView],
+    book: &StateBook,
+) {
+    for item in book.items().map(|(_, item)| item) {
+        let (StateValue::Upstream(report), Some(before)) = (&item.value, &item.before) else {
+            continue;
+        };
+        let present = FlowCookie::derive(report.tag, report.incarnation);
+        let former = FlowCookie::derive(before.tag, before.incarnation);
+        let at = upstreams.iter().position(|view| view.cookie == present);
+        if let Some(at) = at.filter(|_| former != present) {
+            index.entry(former).or_insert(at);
+        }
+    }
+}
+
+fn reports(book: &StateBook) -> impl Iterator<Item = &UpstreamReport> {
+    book.items().filter_map(|(_, item)| match &item.value {
+        StateValue::Upstream(report) => Some(&**report),
+        _ => item.before.as_deref(),
+    })
+}
+
+fn incarnations(book: &StateBook) -> HashMap<FlowCookie, u64> {
+    let start = |report: &UpstreamReport| {
+        (FlowCookie::derive(report.tag, report.incarnation), report.incarnation)
+    };
+    reports(book).map(start).collect()
+}
--- /dev/null
+++ b/crates/mustardgrade-core/src/cookie/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of routing by cookie.
--- /dev/null
+++ b/crates/mustardgrade-core/src/cookie/track.rs
@@ -0,0 +1,124 @@
+//! What a host infers of one upstream from the packets that callers send.
+//!
+//! Answers do not pass the host. A flow whose caller acknowledges new bytes shows that its upstream
+//! lives; an opening that nothing follows, or a payload that is sent again, shows the opposite.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::token::FlowCookie;
+
+/// `TrackOptions` are the bounds of suspicion.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TrackOptions {
+    /// Time in which an opening is followed up when all is well.
+    pub opening_patience: Duration,
+    /// Flows without an answer, with no sign of life between them, that raise a suspicion.
+    pub suspect_after: u32,
+    /// Time between two new flows that try a suspected upstream.
+    pub trial_interval: Duration,
+    /// Silence on every flow after which an open flow may be reset.
+    pub silent_after: Duration,
+    /// Flows without an answer that are needed for a reset.
+    pub silent_flows: u32,
+}
+
+impl Default for TrackOptions {
+    fn default() -> Self {
+        Self {
+            opening_patience: Duration::from_millis(80),
+            suspect_after: 2,
+            trial_interval: Duration::from_millis(1_000),
+            silent_after: Duration::from_millis(600),
+            silent_flows: 3,
+        }
+    }
+}
+
+/// `UpstreamTrack` is what a host infers of one run of an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct UpstreamTrack {
+    /// The upstream.
+    pub cookie: FlowCookie,
+    /// Openings that nothing has followed yet.
+    pub opening: u32,
+    /// Open flows.
+    pub open: u32,
+    /// Requests that the upstream has in hand.
+    pub busy: u32,
+    /// Last sign of life.
+    pub alive: Duration,
+    /// Flows without an answer since the last sign of life.
+    pub unanswered: u32,
+    /// When the first of them was sent.
+    pub unanswered_since: Duration,
+    /// When a new flow last tried the upstream while it was suspected.
+    pub tried: Duration,
+    /// Earliest time of the next new flow while the upstream is cold.
+    pub next_cold: Duration,
+}
+
+impl UpstreamTrack {
+    /// Creates the track of an upstream that nothing is known of.
+    #[must_use]
+    pub fn new(cookie: FlowCookie) -> Self {
+        Self {
+            cookie,
+            opening: 0,
+            open: 0,
+            busy: 0,
+            alive: Duration::ZERO,
+            unanswered: 0,
+            unanswered_since: Duration::ZERO,
+            tried: Duration::ZERO,
+            next_cold: Duration::ZERO,
+        }
+    }
+
+    /// Notes a sign of life: the caller acknowledged bytes that answer a packet sent at `sent`.
+    pub fn note_alive(&mut self, now: Duration) {
+        self.alive = now;
+        self.unanswered = 0;
+    }
+
+    /// Notes a flow whose packet of `sent` is unanswered; returns whether that raises a suspicion.
+    pub fn note_unanswered(&mut self, sent: Duration, options: &TrackOptions) -> bool {
+        if sent <= self.alive {
+            return false;
+        }
+        if self.unanswered == 0 {
+            self.unanswered_since = sent;
+        }
+        self.unanswered += 1;
+        self.unanswered_since = self.unanswered_since.min(sent);
+        self.unanswered == options.suspect_after
+    }
+
+    /// Tells whether the upstream is taken for silent.
+    #[must_use]
+    pub fn is_suspected(&self, options: &TrackOptions) -> bool {
+        self.unanswered >= options.suspect_after
+    }
+
+    /// Tells whether a new flow may try the upstream although it is suspected.
+    #[must_use]
+    pub fn may_try(&self, options: &TrackOptions, now: Duration) -> bool {
+        now.saturating_sub(self.tried.max(self.unanswered_since)) >= options.trial_interval
+    }
+
+    /// Tells whether the upstream has been silent on so many flows that open ones are given up.
+    #[must_use]
+    pub fn is_silent(&self, options: &TrackOptions, now: Duration) -> bool {
+        self.unanswered >= options.silent_flows
+            && now.saturating_sub(self.unanswered_since) >= options.silent_after
+    }
+
+    /// Returns the work in hand: requests, and openings that will soon bring one.
+    #[must_use]
+    pub fn work(&self) -> u32 {
+        self.busy + self.opening
+    }
+}
--- a/crates/mustardgrade-core/src/lib.rs
+++ b/crates/mustardgrade-core/src/lib.rs
@@ -9,9 +9,12 @@
 //! [`placement::PlacementPlanner`] for the tables that the hosts agree on.
 
 pub mod clock;
+pub mod cookie;
 pub mod flow;
 pub mod identity;
 pub mod membership;
 pub mod placement;
+pub mod registry;
 pub mod request;
 pub mod rule;
+pub mod watch;
--- /dev/null
+++ b/crates/mustardgrade-core/src/watch/members.rs
@@ -0,0 +1,123 @@
+//! The hosts that a host has heard of.
+
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::message::{FleetState, MemberHint, millis};
+use crate::identity::{DataCentreId, rendezvous_score};
+
+/// Silence after which a host no longer counts as live; hints take a few rounds to spread.
+const LIVE_TIME: Duration = Duration::from_millis(2_500);
+
+/// Silence after which a host is forgotten.
+const FORGET_TIME: Duration = Duration::from_secs(60);
+
+/// `FleetMember` is what a host knows of another.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct FleetMember {
+    /// Its address.
+    pub address: Ipv4Addr,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+    /// Number of its run.
+    pub incarnation: u64,
+    /// Its strength.
+    pub strength: u16,
+    /// The step of its life.
+    pub state: FleetState,
+    /// When it was last heard, by any host.
+    pub heard: Duration,
+}
+
+impl FleetMember {
+    fn hint(&self, now: Duration) -> MemberHint {
+        MemberHint {
+            address: self.address,
+            data_centre: self.data_centre,
+            incarnation: self.incarnation,
+            strength: self.strength,
+            state: self.state,
+            heard_ms: millis(now.saturating_sub(self.heard)),
+        }
+    }
+}
+
+/// `FleetView` holds the hosts that a host has heard of.
+#[derive(Debug, Clone, Default)]
+pub struct FleetView {
+    members: BTreeMap<Ipv4Addr, FleetMember>,
+}
+
+impl FleetView {
+    /// Takes in what a digest says of a host; returns whether the host or its run is new.
+    pub fn learn(&mut self, hint: &MemberHint, now: Duration) -> bool {
+        let heard = now.saturating_sub(Duration::from_millis(u64::from(hint.heard_ms)));
+        let known = self.members.get(&hint.address);
+        // The time of hearing decides: the number of a run comes from a clock that may jump.
+        if known.is_some_and(|member| member.heard >= heard) {
+            return false;
+        }
+        let fresh = known
+            .is_none_or(|member| member.incarnation != hint.incarnation || !is_live(member, now));
+        let member = FleetMember {
+            address: hint.address,
+            data_centre: hint.data_centre,
+            incarnation: hint.incarnation,
+            strength: hint.strength,
+            state: hint.state,
+            heard,
+        };
+        let live = is_live(&member, now);
+        self.members.insert(hint.address, member);
+        fresh && live
+    }
+
+    /// Forgets hosts that have long been silent.
+    pub fn forget(&mut self, now: Duration) {
+        self.members.retain(|_, member| now.saturating_sub(member.heard) < FORGET_TIME);
+    }
+
+    /// Returns the live hosts.
+    pub fn live(&self, now: Duration) -> impl Iterator<Item = &FleetMember> {
+        self.members.values().filter(move |member| is_live(member, now))
+    }
+
+    /// Returns the live hosts of a data centre that keep serving.
+    pub fn peers(
+        &self,
+        data_centre: DataCentreId,
+        now: Duration,
+    ) -> impl Iterator<Item = &FleetMember> {
+        self.live(now).filter(move |member| {
+            member.data_centre == data_centre && member.state != FleetState::Leaving
+        })
+    }
+
+    /// Returns how many live hosts of `me`'s data centre come before `me` in the order of duties.
+    #[must_use]
+    pub fn rank(&self, me: &MemberHint, now: Duration) -> usize {
+        let order = |address: Ipv4Addr, strength: u16| {
+            let key = u64::from(u32::from(address));
+            (strength, rendezvous_score(me.data_centre.0, key))
+        };
+        let mine = order(me.address, me.strength);
+        let peers = self.peers(me.data_centre, now);
+        peers.filter(|member| order(member.address, member.strength) > mine).count()
+    }
+
+    /// Returns hints of the hosts at `at`, `at + 1` and so on, around the end.
+    #[must_use]
+    pub fn hints(&self, at: usize, count: usize, now: Duration) -> Vec<MemberHint> {
+        let live: Vec<&FleetMember> = self.live(now).collect();
+        let count = count.min(live.len());
+        (0..count).map(|step| live[(at + step) % live.len()].hint(now)).collect()
+    }
+}
+
+fn is_live(member: &FleetMember, now: Duration) -> bool {
+    now.saturating_sub(member.heard) < LIVE_TIME
+}
--- /dev/null
+++ b/crates/mustardgrade-core/src/watch/message.rs
@@ -0,0 +1,96 @@
+//! What hosts tell each other about the registry.
+
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+use crate::identity::DataCentreId;
+use crate::registry::StateChange;
+
+/// `FleetState` is the step of a host's life.
+#[derive(Debug, Display, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum FleetState {
+    /// It does not know routes and upstreams yet.
+    #[display("starting")]
+    Starting,
+    /// It serves.
+    #[display("ready")]
+    Ready,
+    /// It is about to stop.
+    #[display("leaving")]
+    Leaving,
+}
+
+/// `MemberHint` names a host that the sender of a digest has heard of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct MemberHint {
+    /// Its address.
+    pub address: Ipv4Addr,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+    /// Number of its run.
+    pub incarnation: u64,
+    /// Its strength, by which duties are given.
+    pub strength: u16,
+    /// The step of its life.
+    pub state: FleetState,
+    /// Milliseconds since it was last heard, by any host.
+    pub heard_ms: u32,
+}
+
+/// `FleetDigest` is a heartbeat.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct FleetDigest {
+    /// The sender; it was heard just now.
+    pub sender: MemberHint,
+    /// Revision up to which the sender knows every change.
+    pub revision: u64,
+    /// Milliseconds since that revision was the newest, if the sender knows.
+    pub confirmed_ms: Option<u32>,
+    /// Whether the sender asks for a digest in return.
+    pub introduce: bool,
+    /// Some other hosts.
+    pub members: Vec<MemberHint>,
+}
+
+/// `StateBatch` holds the changes after one revision up to another.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StateBatch {
+    /// Revision after which the changes begin; 0 if they hold everything.
+    pub after: u64,
+    /// Revision up to which they are complete.
+    pub upto: u64,
+    /// The changes.
+    pub changes: Vec<StateChange>,
+}
+
+/// `FleetMessage` is what one datagram between hosts carries.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum FleetMessage {
+    /// A heartbeat.
+    Digest(FleetDigest),
+    /// A few changes, passed on as they happen.
+    Changes(FleetDigest, StateBatch),
+}
+
+impl FleetMessage {
+    /// Returns the digest that every message holds.
+    #[must_use]
+    pub fn digest(&self) -> &FleetDigest {
+        match self {
+            Self::Digest(digest) | Self::Changes(digest, _) => digest,
+        }
+    }
+}
+
+/// Converts a duration to the milliseconds of a message; longer ones are cut.
+pub(super) fn millis(duration: Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
+}
--- a/crates/mustardgrade-node/src/control/tasks.rs
+++ b/crates/mustardgrade-node/src/control/tasks.rs
@@ -231,6 +231,8 @@
             merge_records(lanes, vec![ServiceRecordList { service, records }]).await;
             PeerReply::Accepted
         }
+        // Hosts that place by cookie keep a registry; this one does not.
+        PeerCall::Registry { .. } => PeerReply::Declined,
     }
 }
 
--- /dev/null
+++ b/crates/mustardgrade-node/src/fleet/actor.rs
@@ -0,0 +1,289 @@
+//! The actor around the watch controller.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use kameo::Actor;
+use kameo::actor::{ActorRef, WeakActorRef};
+use kameo::error::Infallible;
+use kameo::message::{Context, Message};
+use mustardgrade_core::clock::Clock;
+use mustardgrade_core::watch::{
+    FleetMessage, FleetState, StateBatch, StoreCall, WatchController, WatchInput, WatchNote,
+    WatchOutput,
+};
+use mustardgrade_wire::peer::{FrameSealer, PeerBody, PeerCall, PeerReply};
+use tokio::net::UdpSocket;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use super::edges::StoreEdge;
+use super::lane::FleetShared;
+use super::pages::{FleetStatus, rule_lines};
+use crate::calls::CallClient;
+use crate::clock::UnixClock;
+use crate::metrics::{ByteKind, HostMetrics};
+
+/// Longest datagram with changes; larger ones are fetched by a call.
+const MAX_CHANGES: usize = 1_200;
+
+/// `RegistryLinks` is everything that the actor acts through.
+pub struct RegistryLinks {
+    /// Name of the host.
+    pub(crate) name: String,
+    /// Clock of the host.
+    pub(crate) clock: UnixClock,
+    /// What the traffic thread reads.
+    pub(crate) shared: Arc<FleetShared>,
+    /// Metrics of the host.
+    pub(crate) metrics: Arc<HostMetrics>,
+    /// Socket for digests.
+    pub(crate) socket: Arc<UdpSocket>,
+    /// Port of the other hosts' sockets for digests.
+    pub(crate) digest_port: u16,
+    /// Client for calls.
+    pub(crate) calls: CallClient,
+    /// Client of the store.
+    pub(crate) store: Box<dyn StoreEdge>,
+    /// Whether the host is ready for traffic.
+    pub(crate) ready: watch::Sender<bool>,
+    /// Status as text, for operators.
+    pub(crate) status: watch::Sender<String>,
+}
+
+impl std::fmt::Debug for RegistryLinks {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("RegistryLinks").field("name", &self.name).finish_non_exhaustive()
+    }
+}
+
+/// `RegistryActor` owns the [`WatchController`] and carries out its outputs.
+#[derive(Debug)]
+pub struct RegistryActor {
+    controller: WatchController,
+    links: RegistryLinks,
+    sealer: FrameSealer,
+    call: Option<JoinHandle<()>>,
+    call_number: u64,
+}
+
+impl RegistryActor {
+    /// Creates the actor's state.
+    #[must_use]
+    pub fn new(controller: WatchController, links: RegistryLinks, sealer: FrameSealer) -> Self {
+        Self { controller, links, sealer, call: None, call_number: 0 }
+    }
+
+    fn feed(&mut self, input: WatchInput, me: &ActorRef<Self>) {
+        let now = self.links.clock.now();
+        let mut outputs = Vec::new();
+        self.controller.handle(input, now, &mut outputs);
+        for output in outputs {
+            self.carry_out(output, me);
+        }
+        self.publish();
+    }
+
+    fn carry_out(&mut self, output: WatchOutput, me: &ActorRef<Self>) {
+        match output {
+            WatchOutput::Send { to, message } => self.send(to, message),
+            WatchOutput::Ask { to, after } => self.ask(to, after, me),
+            WatchOutput::Call(call) => self.call_store(call, me),
+            WatchOutput::Install => {
+                self.links.shared.snapshot.store(Arc::new(self.controller.snapshot()));
+            }
+            WatchOutput::Note(note) => self.write(&note),
+        }
+    }
+
+    fn send(&mut self, to: Ipv4Addr, message: FleetMessage) {
+        let mut frame = self.sealer.seal(&PeerBody::Fleet(message.clone()), &[]);
+        if frame.len() > MAX_CHANGES {
+            let digest = FleetMessage::Digest(message.digest().clone());
+            frame = self.sealer.seal(&PeerBody::Fleet(digest), &[]);
+        }
+        self.links.metrics.count_bytes(ByteKind::ControlSent, frame.len());
+        let to = SocketAddr::from((to, self.links.digest_port));
+        if self.links.socket.try_send_to(&frame, to).is_err() {
+            self.links.metrics.overflow.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    fn ask(&self, to: Ipv4Addr, after: u64, me: &ActorRef<Self>) {
+        let calls = self.links.calls.clone();
+        let me = me.clone();
+        tokio::spawn(async move {
+            let batch = match calls.call(to, &PeerCall::Registry { after }).await {
+                Ok(PeerReply::Registry(batch)) => Some(batch),
+                Ok(_) => None,
+                Err(error) => {
+                    log::info!(host:% = to, error:% = error; "host did not answer");
+                    None
+                }
+            };
+            let _stopped = me.tell(WatchInput::State { from: to, batch }).await;
+        });
+    }
+
+    fn call_store(&mut self, call: StoreCall, me: &ActorRef<Self>) {
+        self.links.metrics.store_calls.fetch_add(1, Ordering::Relaxed);
+        if let Some(former) = self.call.take() {
+            former.abort();
+        }
+        self.call_number += 1;
+        let number = self.call_number;
+        let reply = self.links.store.call(call);
+        let me = me.clone();
+        let metrics = Arc::clone(&self.links.metrics);
+        self.call = Some(tokio::spawn(async move {
+            let answer = reply.await;
+            if answer.is_err() {
+                metrics.store_failures.fetch_add(1, Ordering::Relaxed);
+            }
+            let _stopped = me.tell(StoreAnswer { number, input: WatchInput::Store(answer) }).await;
+        }));
+    }
+
+    fn write(&self, note: &WatchNote) {
+        let host = self.links.name.as_str();
+        match note {
+            WatchNote::Refused { .. } | WatchNote::StoreLost { .. } => {
+                log::warn!(host; "{note}");
+            }
+            _ => log::info!(host; "{note}"),
+        }
+    }
+
+    /// Publishes what operators and the platform read.
+    fn publish(&self) {
+        let status = self.controller.status(self.links.clock.now());
+        let ready = status.state == FleetState::Ready;
+        let changed = |current: &mut bool| std::mem::replace(current, ready) != ready;
+        if self.links.ready.send_if_modified(changed) {
+            log::info!(host = self.links.name.as_str(), state:% = status.state; "host state");
+            let page = FleetStatus::new(&self.links.name, &status);
+            self.links.status.send_replace(page.to_json());
+        }
+        let metrics = &self.links.metrics;
+        metrics.rules_revision.store(status.revision, Ordering::Relaxed);
+        metrics.live_hosts.store(status.hosts as u64, Ordering::Relaxed);
+    }
+}
+
+impl Actor for RegistryActor {
+    type Args = Self;
+    type Error = Infallible;
+
+    async fn on_start(state: Self, _me: ActorRef<Self>) -> Result<Self, Infallible> {
+        Ok(state)
+    }
+
+    async fn on_stop(
+        &mut self,
+        _me: WeakActorRef<Self>,
+        _reason: kameo::error::ActorStopReason,
+    ) -> Result<(), Infallible> {
+        if let Some(call) = self.call.take() {
+            call.abort();
+        }
+        Ok(())
+    }
+}
+
+impl Message<WatchInput> for RegistryActor {
+    type Reply = ();
+
+    async fn handle(&mut self, input: WatchInput, context: &mut Context<Self, ()>) {
+        let me = context.actor_ref().clone();
+        self.feed(input, &me);
+    }
+}
+
+/// `StoreAnswer` is the answer to a numbered call.
+#[derive(Debug)]
+struct StoreAnswer {
+    number: u64,
+    input: WatchInput,
+}
+
+impl Message<StoreAnswer> for RegistryActor {
+    type Reply = ();
+
+    async fn handle(&mut self, answer: StoreAnswer, context: &mut Context<Self, ()>) {
+        // The answer to a call that was given up may still be on its way.
+        if answer.number == self.call_number {
+            let me = context.actor_ref().clone();
+            self.feed(answer.input, &me);
+        }
+    }
+}
+
+/// `ReadRegistry` asks for the changes after a revision.
+#[derive(Debug)]
+pub(super) struct ReadRegistry(pub(super) u64);
+
+/// `RegistryReply` holds them.
+#[derive(Debug, kameo::Reply)]
+pub(super) struct RegistryReply(pub(super) StateBatch);
+
+impl Message<ReadRegistry> for RegistryActor {
+    type Reply = RegistryReply;
+
+    async fn handle(
+        &mut self,
+        read: ReadRegistry,
+        _context: &mut Context<Self, RegistryReply>,
+    ) -> RegistryReply {
+        RegistryReply(self.controller.answer(read.0, self.links.clock.now()))
+    }
+}
+
+/// `ReadPages` asks for the pages that operators read.
+#[derive(Debug)]
+pub(super) struct ReadPages;
+
+/// `PagesReply` holds them as text.
+#[derive(Debug, kameo::Reply)]
+pub(super) struct PagesReply {
+    pub(super) status: String,
+    pub(super) rules: String,
+}
+
+impl Message<ReadPages> for RegistryActor {
+    type Reply = PagesReply;
+
+    async fn handle(
+        &mut self,
+        _read: ReadPages,
+        _context: &mut Context<Self, PagesReply>,
+    ) -> PagesReply {
+        let status = self.controller.status(self.links.clock.now());
+        let status = FleetStatus::new(&self.links.name, &status);
+        PagesReply { status: status.to_json(), rules: rule_lines(self.controller.book()) }
+    }
+}
+
+/// `ReloadFleet` hands the actor settings that changed while it runs.
+pub struct ReloadFleet {
+    /// Configured peers.
+    pub seeds: Vec<Ipv4Addr>,
+    /// Client of the store.
+    pub store: Box<dyn StoreEdge>,
+}
+
+impl std::fmt::Debug for ReloadFleet {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("ReloadFleet").field("seeds", &self.seeds).finish_non_exhaustive()
+    }
+}
+
+impl Message<ReloadFleet> for RegistryActor {
+    type Reply = ();
+
+    async fn handle(&mut self, reload: ReloadFleet, context: &mut Context<Self, ()>) {
+        let me = context.actor_ref().clone();
+        self.links.store = reload.store;
+        self.feed(WatchInput::Seeds(reload.seeds), &me);
+    }
+}
--- /dev/null
+++ b/crates/mustardgrade-node/src/fleet/edges.rs
@@ -0,0 +1,77 @@
+//! What a platform has to provide: a codec of packets and a client of its store.
+
+use std::net::SocketAddrV4;
+use std::pin::Pin;
+
+use derive_more::Display;
+use mustardgrade_core::cookie::{CookiePacket, FlowCookie};
+use mustardgrade_core::watch::{StateBatch, StoreCall, StoreFailure};
+use thiserror::Error;
+
+/// `Result` of reading a datagram.
+pub type Result<T> = std::result::Result<T, EdgeError>;
+
+/// `EdgeError` says why a datagram cannot be read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum EdgeError {
+    /// The datagram is shorter than its head or the length that the head states.
+    #[error("datagram is truncated")]
+    Truncated,
+    /// The datagram is not one that a caller sends.
+    #[error("datagram is not from a caller")]
+    Foreign,
+}
+
+/// `UpstreamTarget` is where a packet goes.
+#[derive(Debug, Display, Clone, Copy, PartialEq, Eq)]
+#[display("{tag:x}@{address}")]
+pub struct UpstreamTarget {
+    /// Number by which packets name the upstream.
+    pub tag: u64,
+    /// Where it receives packets.
+    pub address: SocketAddrV4,
+    /// The cookie to write.
+    pub cookie: FlowCookie,
+}
+
+/// `PacketEdge` reads callers' packets and writes those to upstreams and callers.
+pub trait PacketEdge: Send {
+    /// Reads a caller's datagram.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the datagram is no whole packet of a caller.
+    fn parse(&self, datagram: &[u8]) -> Result<CookiePacket>;
+
+    /// Writes the datagram that brings a caller's packet to an upstream, into an empty buffer.
+    ///
+    /// Apart from the cookie the packet stays as it is.
+    fn forward(&self, datagram: &[u8], target: &UpstreamTarget, output: &mut Vec<u8>);
+
+    /// Writes a reset to the caller of a packet, into an empty buffer; returns where it goes.
+    fn reset(&self, packet: &CookiePacket, output: &mut Vec<u8>) -> SocketAddrV4;
+}
+
+/// `StoreReply` is a store's answer that is yet to come.
+pub type StoreReply =
+    Pin<Box<dyn Future<Output = std::result::Result<StateBatch, StoreFailure>> + Send>>;
+
+/// `StoreEdge` calls a platform's store.
+pub trait StoreEdge: Send + Sync {
+    /// Makes a call; dropping the reply gives the call up.
+    fn call(&self, call: StoreCall) -> StoreReply;
+}
+
+/// `FleetEdges` are the edges of one host.
+pub struct FleetEdges {
+    /// The codec of packets.
+    pub packets: Box<dyn PacketEdge>,
+    /// The client of the store.
+    pub store: Box<dyn StoreEdge>,
+}
+
+impl std::fmt::Debug for FleetEdges {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("FleetEdges(..)")
+    }
+}
--- /dev/null
+++ b/crates/mustardgrade-node/src/fleet/lines.rs
@@ -0,0 +1,91 @@
+//! One log line for each decision on a flow.
+
+use std::time::Duration;
+
+use mustardgrade_core::cookie::{CookieMatch, CookieSnapshot, FlowCookie, FlowEvent, ResetCause};
+use mustardgrade_core::flow::FlowKey;
+
+use crate::logging::{LineBudget, LineGrant};
+
+/// Lines of one kind in a second.
+const LINES_PER_SECOND: u32 = 20;
+
+/// `FlowLines` writes the decisions of a traffic thread to the log.
+#[derive(Debug)]
+pub(super) struct FlowLines {
+    opened: LineBudget,
+    redirected: LineBudget,
+    refused: LineBudget,
+    reset: LineBudget,
+    believed: LineBudget,
+    discarded: LineBudget,
+}
+
+impl FlowLines {
+    pub(super) fn new() -> Self {
+        let budget = LineBudget::new(LINES_PER_SECOND);
+        Self {
+            opened: budget,
+            redirected: budget,
+            refused: budget,
+            reset: budget,
+            believed: budget,
+            discarded: budget,
+        }
+    }
+
+    /// Writes a line for `event`, unless its kind has had its lines of this second.
+    pub(super) fn write(&mut self, event: &FlowEvent, snapshot: &CookieSnapshot, now: Duration) {
+        let budget = match event {
+            FlowEvent::Opened { .. } => &mut self.opened,
+            FlowEvent::Redirected { .. } => &mut self.redirected,
+            FlowEvent::Reset { cause: ResetCause::NoUpstream | ResetCause::NoRoute, .. } => {
+                &mut self.refused
+            }
+            FlowEvent::Reset { .. } => &mut self.reset,
+            FlowEvent::Suspected { .. } | FlowEvent::Cleared { .. } => &mut self.believed,
+            FlowEvent::Discarded { .. } => &mut self.discarded,
+        };
+        let LineGrant::Write { omitted } = budget.ask(now) else { return };
+        let version = snapshot.version;
+        let revision = snapshot.revision;
+        let upstream = |cookie| name(snapshot, cookie);
+        match event {
+            FlowEvent::Opened { key, cookie, work, copy, cold, spilled } => log::info!(
+                flow = id(key), key:% = key, upstream = upstream(*cookie), cookie:% = cookie,
+                work, copy, cold, spilled, version, revision, omitted; "flow opened"
+            ),
+            FlowEvent::Redirected { key, from, to } => log::info!(
+                flow = id(key), key:% = key, from = upstream(*from), to = upstream(*to),
+                version, revision, omitted; "opening redirected"
+            ),
+            FlowEvent::Reset { key, cookie, cause } => log::info!(
+                flow = id(key), key:% = key, upstream = upstream(*cookie), cause:% = cause,
+                version, revision, omitted; "flow reset"
+            ),
+            FlowEvent::Suspected { cookie, unanswered, silent } => log::info!(
+                upstream = upstream(*cookie), unanswered, silent_ms = silent.as_millis() as u64,
+                revision, omitted; "upstream suspected"
+            ),
+            FlowEvent::Cleared { cookie } => log::info!(
+                upstream = upstream(*cookie), revision, omitted; "upstream alive"
+            ),
+            FlowEvent::Discarded { key, cookie, cause } => log::info!(
+                flow = id(key), key:% = key, cookie:% = cookie, cause:% = cause,
+                version, revision, omitted; "packet dropped"
+            ),
+        }
+    }
+}
+
+/// Returns the short id of a flow, the same on all hosts.
+fn id(key: &FlowKey) -> String {
+    format!("{:016x}", key.fingerprint(0))
+}
+
+fn name(snapshot: &CookieSnapshot, cookie: FlowCookie) -> &str {
+    match snapshot.find(cookie) {
+        CookieMatch::Upstream(at) => &snapshot.upstreams[at].name,
+        CookieMatch::Unknown => "-",
+    }
+}
--- a/crates/mustardgrade-node/src/host/mod.rs
+++ b/crates/mustardgrade-node/src/host/mod.rs
@@ -26,6 +26,9 @@
     ControlActor, ControlLinks, spawn_call_server, spawn_digest_reader, spawn_store_watch,
     spawn_ticker, spawn_transfers,
 };
+use crate::fleet::{
+    FleetEdges, FleetSettings, FleetSwitches, FleetThreads, ReloadFleet, start_fleet,
+};
 use crate::metrics::{HostMetrics, serve_metrics};
 use crate::requests::{RequestChannels, RequestSettings, spawn_requests};
 use crate::settings::HostSettings;
@@ -45,6 +48,9 @@
 /// Record lists that wait to be handed over.
 const TRANSFER_QUEUE: usize = 256;
 
+/// Longest time that a graceful stop takes beyond what the settings allow.
+const STOP_MARGIN: Duration = Duration::from_millis(250);
+
 /// Longest time that a graceful stop takes.
 const STOP_PATIENCE: Duration = Duration::from_secs(10);
 
@@ -61,6 +67,8 @@
     stop: watch::Sender<bool>,
     stopped: watch::Receiver<bool>,
     idle: watch::Receiver<bool>,
+    reload: Option<mpsc::Sender<ReloadFleet>>,
+    patience: Duration,
     threads: Vec<JoinHandle<()>>,
 }
 
@@ -137,7 +145,59 @@
         };
         threads.push(control.spawn()?);
         let name = settings.name.clone();
-        Ok(Self { name, metrics, status, leave, stop, stopped, idle, threads })
+        Ok(Self {
+            name,
+            metrics,
+            status,
+            leave,
+            stop,
+            stopped,
+            idle,
+            reload: None,
+            patience: STOP_PATIENCE,
+            threads,
+        })
+    }
+
+    /// Starts a host that places flows by cookie, between the edges of a platform.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a socket cannot be bound or a thread cannot be started.
+    pub fn start_with_edges(settings: FleetSettings, edges: FleetEdges) -> Result<Self> {
+        let (leave, leave_seen) = watch::channel(false);
+        let (stop, stop_seen) = watch::channel(false);
+        let (stopped_sender, stopped) = watch::channel(false);
+        let (status_sender, status) = watch::channel(String::from("{}"));
+        // Flows stay with their upstreams: nothing else has to finish before the stop.
+        let (_idle_sender, idle) = watch::channel(true);
+        let name = settings.name.clone();
+        let patience = settings.stop_time + STOP_MARGIN;
+        let switches = FleetSwitches {
+            leave: leave_seen,
+            stop: stop_seen,
+            stopped: stopped_sender,
+            status: status_sender,
+        };
+        let FleetThreads { threads, metrics, reload } = start_fleet(settings, edges, switches)?;
+        Ok(Self {
+            name,
+            metrics,
+            status,
+            leave,
+            stop,
+            stopped,
+            idle,
+            reload: Some(reload),
+            patience,
+            threads,
+        })
+    }
+
+    /// Hands changed settings to a host that places flows by cookie; returns whether it took them.
+    #[must_use]
+    pub fn reload(&self, reload: ReloadFleet) -> bool {
+        self.reload.as_ref().is_some_and(|sender| sender.try_send(reload).is_ok())
     }
 
     /// Returns the name of the host.
@@ -163,7 +223,7 @@
     /// Returns whether everything was handed over and finished.
     pub fn stop(self) -> bool {
         self.leave.send_replace(true);
-        let limit = std::time::Instant::now() + STOP_PATIENCE;
+        let limit = std::time::Instant::now() + self.patience;
         let finished = || *self.stopped.borrow() && *self.idle.borrow();
         while !finished() && std::time::Instant::now() < limit {
             std::thread::sleep(STOP_POLL);
--- a/crates/mustardgrade-node/src/lib.rs
+++ b/crates/mustardgrade-node/src/lib.rs
@@ -6,7 +6,9 @@
 pub mod calls;
 pub mod clock;
 pub mod control;
+pub mod fleet;
 pub mod host;
+pub mod logging;
 pub mod metrics;
 pub mod requests;
 pub mod settings;
--- a/crates/mustardgrade-node/src/metrics/mod.rs
+++ b/crates/mustardgrade-node/src/metrics/mod.rs
@@ -4,4 +4,4 @@
 mod server;
 
 pub use registry::{ByteKind, CounterCell, HostMetrics, RequestLabels, RequestWord, TrafficLabels};
-pub use server::serve_metrics;
+pub use server::{metrics_page, serve_metrics};
--- a/crates/mustardgrade-node/src/metrics/registry.rs
+++ b/crates/mustardgrade-node/src/metrics/registry.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use mustardgrade_core::cookie::CookieCounters;
 use mustardgrade_core::flow::{DropCause, FlowCounters};
 use mustardgrade_core::request::RequestCounters;
 use prometheus_client::collector::Collector;
@@ -88,6 +89,8 @@
     pub lanes: Vec<CounterCell<FlowCounters>>,
     /// Records and settled exceptions held, by traffic thread.
     pub held: Vec<[AtomicU64; 2]>,
+    /// The cell of the thread that routes by cookie.
+    pub cookie: CounterCell<CookieCounters>,
     /// The request thread's cell.
     pub requests: CounterCell<RequestCounters>,
     /// Datagrams that could not be read, whatever the reason.
@@ -123,6 +126,7 @@
         Arc::new(Self {
             lanes: (0..lanes).map(|_| CounterCell::default()).collect(),
             held: (0..lanes).map(|_| Default::default()).collect(),
+            cookie: CounterCell::default(),
             requests: CounterCell::default(),
             malformed: AtomicU64::new(0),
             refused_frames: AtomicU64::new(0),
@@ -213,6 +217,7 @@
         let metrics = &self.0;
         let flows = metrics.flow_counters();
         let requests = metrics.requests.read();
+        let cookie = metrics.cookie.read();
         let load = |value: &AtomicU64| value.load(Ordering::Relaxed);
         let held = |index: usize| metrics.held.iter().map(|lane| load(&lane[index])).sum::<u64>();
         let counters = [
@@ -224,6 +229,15 @@
             ("record_conflicts", "Records that two hosts held differently", flows.conflicts),
             ("flow_table_full", "Flows that found the flow table full", flows.table_full),
             ("record_table_full", "Records that found their table full", flows.records_full),
+            ("cookie_forwarded", "Packets sent on by cookie", cookie.forwarded),
+            ("cookie_opened", "New flows given an upstream", cookie.opened),
+            ("cookie_redirected", "Openings sent to a second upstream", cookie.redirected),
+            ("cookie_opened_cold", "New flows on cold upstreams", cookie.opened_cold),
+            ("cookie_spilled", "New flows in another data centre", cookie.spilled),
+            ("cookie_refused", "New flows refused", cookie.refused),
+            ("cookie_reset", "Open flows reset", cookie.reset),
+            ("cookie_dropped", "Packets dropped", cookie.dropped),
+            ("cookie_suspicions", "Upstreams taken for silent", cookie.suspicions),
             ("requests_received", "Requests from callers", requests.received),
             ("tickets_issued", "Tickets issued", requests.challenges),
             ("requests_dispatched", "Requests sent to upstreams", requests.dispatched),
--- a/crates/mustardgrade-node/src/metrics/server.rs
+++ b/crates/mustardgrade-node/src/metrics/server.rs
@@ -5,7 +5,7 @@
 
 use axum::Router;
 use axum::http::header::CONTENT_TYPE;
-use axum::routing::get;
+use axum::routing::{MethodRouter, get};
 
 use super::registry::HostMetrics;
 
@@ -26,8 +26,23 @@
     F: Fn() -> String + Clone + Send + Sync + 'static,
 {
     let listener = tokio::net::TcpListener::bind(address).await?;
+    let state = move || {
+        let body = status();
+        async move { ([(CONTENT_TYPE, "application/json")], body) }
+    };
+    let router =
+        Router::new().route("/metrics", metrics_page(&metrics)).route("/status", get(state));
+    Ok(async move {
+        if let Err(error) = axum::serve(listener, router).await {
+            log::warn!(error:% = error; "metrics server ended");
+        }
+    })
+}
+
+/// Returns the page with the metrics of a host.
+pub fn metrics_page(metrics: &Arc<HostMetrics>) -> MethodRouter {
     let registry = Arc::new(metrics.registry());
-    let text = move || {
+    get(move || {
         let registry = Arc::clone(&registry);
         async move {
             let mut text = String::new();
@@ -37,15 +52,5 @@
                 Err(error) => ([(CONTENT_TYPE, "text/plain")], error.to_string()),
             }
         }
-    };
-    let state = move || {
-        let body = status();
-        async move { ([(CONTENT_TYPE, "application/json")], body) }
-    };
-    let router = Router::new().route("/metrics", get(text)).route("/status", get(state));
-    Ok(async move {
-        if let Err(error) = axum::serve(listener, router).await {
-            log::warn!(error:% = error; "metrics server ended");
-        }
     })
 }
--- a/crates/mustardgrade-node/src/requests/thread.rs
+++ b/crates/mustardgrade-node/src/requests/thread.rs
@@ -208,7 +208,13 @@
                 Ok(PeerBody::Keeper(message)) => {
                     self.decide(RequestInput::Peer(message), channels);
                 }
-                Ok(PeerBody::Digest(_) | PeerBody::Hop(_) | PeerBody::Notes(_)) | Err(_) => {
+                Ok(
+                    PeerBody::Digest(_)
+                    | PeerBody::Hop(_)
+                    | PeerBody::Notes(_)
+                    | PeerBody::Fleet(_),
+                )
+                | Err(_) => {
                     self.metrics.refused_frames.fetch_add(1, Ordering::Relaxed);
                 }
             }
--- a/crates/mustardgrade-node/src/store/client.rs
+++ b/crates/mustardgrade-node/src/store/client.rs
@@ -11,6 +11,7 @@
 use serde::de::DeserializeOwned;
 
 use super::errors::{Result, StoreError};
+use super::http::{HttpClient, checked};
 
 /// Time after which a call is given up; the store answers in milliseconds when it is well.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -39,8 +40,7 @@
 /// `StoreClient` calls the store.
 #[derive(Debug, Clone)]
 pub struct StoreClient {
-    http: reqwest::Client,
-    url: String,
+    http: HttpClient,
     token: Option<String>,
 }
 
@@ -73,8 +73,7 @@
     ///
     /// Fails if the HTTP client cannot be set up.
     pub fn new(url: &str, token: Option<String>) -> Result<Self> {
-        let http = reqwest::Client::builder().no_proxy().build()?;
-        Ok(Self { http, url: url.trim_end_matches('/').to_owned(), token })
+        Ok(Self { http: HttpClient::new(url, CALL_TIMEOUT)?, token })
     }
 
     /// Reads a key.
@@ -106,7 +105,7 @@
     pub async fn write(&self, key: &str, value: &[u8], expected: u64) -> Result<bool> {
         let request = self
             .http
-            .put(format!("{}/v1/kv/{key}", self.url))
+            .put(&format!("/v1/kv/{key}"))
             .query(&[("cas", expected.to_string())])
             .body(value.to_vec())
             .timeout(CALL_TIMEOUT);
@@ -121,8 +120,8 @@
     ///
     /// Fails if the platform does not answer or the answer cannot be read.
     pub async fn hosts(&self) -> Result<Vec<ListedHost>> {
-        let url = format!("{}/v1/catalog/service/{CATALOG_SERVICE}", self.url);
-        let request = self.authorized(self.http.get(url).timeout(CALL_TIMEOUT));
+        let path = format!("/v1/catalog/service/{CATALOG_SERVICE}");
+        let request = self.authorized(self.http.get(&path).timeout(CALL_TIMEOUT));
         let response = checked(request.send().await?)?;
         let entries: Vec<CatalogEntry> = response.json().await?;
         let listed = entries.into_iter().map(|entry| ListedHost {
@@ -146,7 +145,7 @@
         page: &str,
     ) -> Result<T> {
         let url = format!("http://{address}:{port}/{page}");
-        let response = checked(self.http.get(url).timeout(CALL_TIMEOUT).send().await?)?;
+        let response = checked(self.http.get_url(&url).timeout(CALL_TIMEOUT).send().await?)?;
         Ok(response.json().await?)
     }
 
@@ -156,8 +155,8 @@
         query: &[(&str, String)],
         timeout: Duration,
     ) -> Result<ReadReply> {
-        let url = format!("{}/v1/kv/{key}", self.url);
-        let request = self.authorized(self.http.get(url).query(query).timeout(timeout));
+        let path = format!("/v1/kv/{key}");
+        let request = self.authorized(self.http.get(&path).query(query).timeout(timeout));
         let response = request.send().await?;
         let index = response
             .headers()
@@ -186,11 +185,3 @@
         }
     }
 }
-
-fn checked(response: reqwest::Response) -> Result<reqwest::Response> {
-    let status = response.status();
-    match status.is_success() {
-        true => Ok(response),
-        false => Err(StoreError::Status(status.as_u16())),
-    }
-}
--- /dev/null
+++ b/crates/mustardgrade-node/src/store/http.rs
@@ -0,0 +1,55 @@
+//! HTTP calls to a store, whichever its interface.
+
+use std::time::Duration;
+
+use super::errors::{Result, StoreError};
+
+/// `HttpClient` calls one HTTP server; a call that is given up closes its connection.
+#[derive(Debug, Clone)]
+pub struct HttpClient {
+    http: reqwest::Client,
+    url: String,
+}
+
+impl HttpClient {
+    /// Creates a client for the server at `url`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the client cannot be set up.
+    pub fn new(url: &str, connect_timeout: Duration) -> Result<Self> {
+        let http = reqwest::Client::builder().no_proxy().connect_timeout(connect_timeout);
+        Ok(Self { http: http.build()?, url: url.trim_end_matches('/').to_owned() })
+    }
+
+    /// Creates a request that reads a path.
+    #[must_use]
+    pub fn get(&self, path: &str) -> reqwest::RequestBuilder {
+        self.http.get(format!("{}{path}", self.url))
+    }
+
+    /// Creates a request that reads a URL of another server.
+    #[must_use]
+    pub fn get_url(&self, url: &str) -> reqwest::RequestBuilder {
+        self.http.get(url)
+    }
+
+    /// Creates a request that writes a path.
+    #[must_use]
+    pub fn put(&self, path: &str) -> reqwest::RequestBuilder {
+        self.http.put(format!("{}{path}", self.url))
+    }
+}
+
+/// Returns a response whose status says that the call succeeded.
+///
+/// # Errors
+///
+/// Fails with any other status.
+pub fn checked(response: reqwest::Response) -> Result<reqwest::Response> {
+    let status = response.status();
+    match status.is_success() {
+        true => Ok(response),
+        false => Err(StoreError::Status(status.as_u16())),
+    }
+}
--- a/crates/mustardgrade-node/src/store/mod.rs
+++ b/crates/mustardgrade-node/src/store/mod.rs
@@ -3,6 +3,7 @@
 mod client;
 mod document;
 mod errors;
+mod http;
 
 pub use client::{ReadReply, StoreClient, StoredValue};
 pub use document::{
@@ -10,3 +11,4 @@
     encode_rules,
 };
 pub use errors::{Result, StoreError};
+pub use http::{HttpClient, checked};
--- a/crates/mustardgrade-node/src/traffic/lane.rs
+++ b/crates/mustardgrade-node/src/traffic/lane.rs
@@ -258,7 +258,9 @@
                     self.router.learn(note, now);
                 }
             }
-            PeerBody::Digest(_) | PeerBody::Keeper(_) => self.count_malformed(),
+            PeerBody::Digest(_) | PeerBody::Keeper(_) | PeerBody::Fleet(_) => {
+                self.count_malformed();
+            }
         }
     }
 
--- a/crates/mustardgrade-wire/src/peer/message.rs
+++ b/crates/mustardgrade-wire/src/peer/message.rs
@@ -7,6 +7,7 @@
 use mustardgrade_core::membership::{HostDigest, HostState};
 use mustardgrade_core::placement::{BucketIndex, PlacementBook};
 use mustardgrade_core::request::KeeperMessage;
+use mustardgrade_core::watch::{FleetMessage, StateBatch};
 use serde::{Deserialize, Serialize};
 
 /// `DigestBody` is a digest without what the frame says already.
@@ -54,7 +55,7 @@
 }
 
 /// `PeerBody` is what one frame between hosts carries.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum PeerBody {
     /// A heartbeat.
@@ -65,6 +66,8 @@
     Hop(HopHeader),
     /// A message about a request.
     Keeper(KeeperMessage),
+    /// A message about the registry.
+    Fleet(FleetMessage),
 }
 
 /// `PeerCall` is a call to another host.
@@ -87,6 +90,11 @@
         /// The calling host.
         host: HostId,
     },
+    /// Asks for the registry's changes after a revision.
+    Registry {
+        /// The revision.
+        after: u64,
+    },
     /// Hands over records of a bucket whose chain the callee has joined.
     Transfer {
         /// The service.
@@ -97,7 +105,7 @@
 }
 
 /// `PeerReply` answers a [`PeerCall`].
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum PeerReply {
     /// The rules as text with their revision, and the placement.
@@ -118,6 +126,8 @@
         /// The records.
         services: Vec<ServiceRecordList>,
     },
+    /// Changes of the registry.
+    Registry(StateBatch),
     /// The call is carried out.
     Accepted,
     /// The callee cannot answer the call now.
