Read a stale copy 40 ms after the start; poll nothing before the first manifest

Cause: after a power loss of all hosts each waited 250 to 750 ms for peers that knew nothing either, and before the first manifest each host polled the store without a pause. Ruled out: slow starts of the process (sockets are bound within 0.1 s by the logs).

--- a/crates/mustardgrade-core/src/watch/controller.rs
+++ b/crates/mustardgrade-core/src/watch/controller.rs
@@ -279,11 +279,10 @@
     #[must_use]
     pub fn new(options: WatchOptions, now: Duration) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(options.seed);
-        let first = options.seeds.contains(&options.address) || options.seeds.is_empty();
         let patience = options.schedule.boot_patience;
-        let boot_read = match first {
+        let boot_read = match is_first(&options) {
             true => now,
-            false => now + patience + patience.mul_f64(rng.random::<f64>() * 2.0),
+            false => now + patience.mul_f64(0.5 + rng.random::<f64>()),
         };
         let scope =
             SnapshotScope { data_centre: Some(options.data_centre), ..SnapshotScope::default() };
@@ -745,10 +744,9 @@
         if self.call.is_some() || self.state == FleetState::Leaving {
             return;
         }
-        if self.state == FleetState::Starting {
+        if self.book.revision() == 0 {
             if now >= self.boot_read && now >= self.next_call {
-                let stale = self.book.revision() == 0 && self.failures == 0;
-                self.call(first_call(&self.book, stale), now, outputs);
+                self.call(StoreCall::ReadAll { stale: self.failures == 0 }, now, outputs);
             }
             return;
         }
@@ -771,10 +769,10 @@
 
     /// Tells whether the host calls the store now.
     fn is_on_duty(&self, rank: usize, now: Duration) -> bool {
-        let age = self.confirmed.map_or(Duration::MAX, |at| now.saturating_sub(at));
+        let age = now.saturating_sub(self.confirmed.unwrap_or(self.started));
         let settled = now.saturating_sub(self.started) >= self.options.schedule.settle;
         match rank {
-            0 => settled || self.confirmed.is_none(),
+            0 => settled || (self.confirmed.is_none() && is_first(&self.options)),
             _ => age >= self.options.schedule.takeover_age(rank),
         }
     }
@@ -786,10 +784,7 @@
     }
 }
 
-/// Returns the first call of a starting host.
-fn first_call(book: &StateBook, stale: bool) -> StoreCall {
-    match book.revision() {
-        0 => StoreCall::ReadAll { stale },
-        after => StoreCall::Watch { after, wait: Duration::from_millis(1) },
-    }
+/// Tells whether other hosts turn to this one while they start.
+fn is_first(options: &WatchOptions) -> bool {
+    options.seeds.contains(&options.address) || options.seeds.is_empty()
 }
--- a/crates/mustardgrade-core/src/watch/schedule.rs
+++ b/crates/mustardgrade-core/src/watch/schedule.rs
@@ -36,7 +36,7 @@
             gather: Duration::from_millis(120),
             takeover: Duration::from_millis(2_250),
             takeover_step: Duration::from_millis(150),
-            boot_patience: Duration::from_millis(250),
+            boot_patience: Duration::from_millis(40),
             settle: Duration::from_millis(700),
             retry: Duration::from_millis(400),
             retry_limit: Duration::from_secs(4),
