Share load and silence between hosts; spill over by load; test placing and hazards

Cause: after a power loss one data centre's upstreams shed 537 openings while others had room, and flows at upstreams that fell silent waited out their time. Ruled out: a smaller program by link-time optimisation (2m54 to build, hosts ready no sooner).

--- /dev/null
+++ b/crates/mustardgrade-core/src/cookie/load.rs
@@ -0,0 +1,89 @@
+//! What hosts tell each other of the load and silence of upstreams.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::token::FlowCookie;
+
+/// Upstreams in a report; a datagram holds no more.
+pub(super) const MOST_ENTRIES: usize = 96;
+
+/// `LoadEntry` is what one host has inferred of an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LoadEntry {
+    /// The upstream.
+    pub cookie: FlowCookie,
+    /// Requests in hand that came through the host.
+    pub work: u16,
+    /// Flows without an answer since the last sign of life.
+    pub unanswered: u16,
+    /// Milliseconds since the last sign of life; the largest value stands for none.
+    pub alive_ms: u16,
+}
+
+/// `LoadReport` is what one host has inferred of all upstreams that matter now.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LoadReport {
+    /// Whether the upstreams of the host have little room left.
+    pub pressed: bool,
+    /// The upstreams.
+    pub entries: Vec<LoadEntry>,
+}
+
+impl LoadReport {
+    /// Tells whether the report names an upstream without an answer.
+    #[must_use]
+    pub fn suspects(&self) -> bool {
+        self.entries.iter().any(|entry| entry.unanswered >= 2)
+    }
+}
+
+/// `PeerLoad` is what the other hosts together have inferred of an upstream.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PeerLoad {
+    /// Requests in hand.
+    pub work: u32,
+    /// Flows without an answer.
+    pub unanswered: u32,
+    /// Last sign of life, by the clock of the host that adds up.
+    pub alive: Duration,
+}
+
+/// `PeerLoads` adds up the reports of the other hosts.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PeerLoads {
+    loads: HashMap<FlowCookie, PeerLoad>,
+}
+
+impl PeerLoads {
+    /// Adds a report that was received at `heard`.
+    pub fn add(&mut self, report: &LoadReport, heard: Duration) {
+        for entry in &report.entries {
+            let load = self.loads.entry(entry.cookie).or_default();
+            load.work += u32::from(entry.work);
+            load.unanswered += u32::from(entry.unanswered);
+            if entry.alive_ms != u16::MAX {
+                let age = Duration::from_millis(u64::from(entry.alive_ms));
+                load.alive = load.alive.max(heard.saturating_sub(age));
+            }
+        }
+    }
+
+    /// Returns what the other hosts have inferred of an upstream.
+    #[must_use]
+    pub fn get(&self, cookie: FlowCookie) -> PeerLoad {
+        self.loads.get(&cookie).copied().unwrap_or_default()
+    }
+
+    /// Tells whether no report is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.loads.is_empty()
+    }
+}
--- a/crates/mustardgrade-core/src/cookie/memo.rs
+++ b/crates/mustardgrade-core/src/cookie/memo.rs
@@ -38,6 +38,8 @@
     pub carried_data: bool,
     /// When the request in hand passed, if the upstream has not answered it.
     pub request: Option<Duration>,
+    /// Whether that request counts among the work of its upstream.
+    pub counted: bool,
     /// Whether the flow counts among the unanswered of its upstream.
     pub unanswered: bool,
 }
@@ -55,6 +57,7 @@
             data_end: packet.sequence.wrapping_add(1),
             carried_data: false,
             request: None,
+            counted: false,
             unanswered: false,
         }
     }
@@ -71,6 +74,7 @@
             data_end: packet.sequence,
             carried_data: true,
             request: None,
+            counted: false,
             unanswered: false,
         }
     }
--- a/crates/mustardgrade-core/src/cookie/mod.rs
+++ b/crates/mustardgrade-core/src/cookie/mod.rs
@@ -2,6 +2,7 @@
 //! send back, so that any host routes it without state (Cheetah, NSDI 2020).
 
 mod counters;
+mod load;
 mod memo;
 mod picker;
 mod router;
@@ -10,6 +11,7 @@
 mod track;
 
 pub use counters::{CookieCounters, DiscardCause, ResetCause};
+pub use load::{LoadEntry, LoadReport, PeerLoad, PeerLoads};
 pub use memo::{FlowMemo, FlowStage, MemoTable};
 pub use router::{CookieOptions, CookiePacket, CookieRouter, CookieVerdict, FlowEvent};
 pub use snapshot::{
--- a/crates/mustardgrade-core/src/cookie/picker.rs
+++ b/crates/mustardgrade-core/src/cookie/picker.rs
@@ -2,12 +2,22 @@
 
 use std::time::Duration;
 
+use super::load::PeerLoads;
 use super::snapshot::{CookieRoute, CookieSnapshot, UpstreamView};
 use super::track::{TrackOptions, UpstreamTrack};
 use crate::identity::{ServiceId, rendezvous_score};
 
-/// Cost of a request in hand, against that of an open flow: most open flows are idle.
-const WORK_COST: u64 = 16;
+/// Cost of an upstream whose slots are all in use.
+const LOAD_UNIT: u64 = 1_024;
+
+/// Load from which on another data centre is looked at; a short queue costs less than the way.
+const FULL_LOAD: u64 = LOAD_UNIT * 7 / 4;
+
+/// Cost of an open flow, divided by the slots: most open flows are idle.
+const OPEN_COST: u64 = 64;
+
+/// Cost of another data centre: a flow there breaks when the data centres are cut off.
+const REMOTE_COST: u64 = 768;
 
 /// New flows a second that all hosts together send to one cold upstream beyond its stated rate.
 const COLD_ALLOWANCE: f64 = 1.0;
@@ -27,6 +37,7 @@
 pub(super) struct UpstreamPicker<'a> {
     pub(super) snapshot: &'a CookieSnapshot,
     pub(super) tracks: &'a mut [UpstreamTrack],
+    pub(super) peers: &'a PeerLoads,
     pub(super) options: &'a TrackOptions,
     pub(super) now: Duration,
 }
@@ -84,7 +95,7 @@
     /// Returns a suspected upstream that is due to be tried.
     fn trial(&mut self, candidates: &[usize]) -> Option<usize> {
         let due = candidates.iter().copied().find(|at| {
-            let track = &self.tracks[*at];
+            let track = self.track(*at);
             track.is_suspected(self.options)
                 && track.may_try(self.options, self.now)
                 && !self.view(*at).is_cold(self.now)
@@ -93,22 +104,30 @@
         Some(due)
     }
 
-    /// Returns the warm, unsuspected upstream with the least work, of this data centre if any is.
+    /// Returns the warm, unsuspected upstream that a new flow waits least at.
+    ///
+    /// Upstreams of this data centre come first while any of them has room.
     fn cheapest(&self, candidates: &[usize], fingerprint: u64) -> Option<usize> {
         let sound = candidates.iter().copied().filter(|at| {
-            !self.view(*at).is_cold(self.now) && !self.tracks[*at].is_suspected(self.options)
+            !self.view(*at).is_cold(self.now) && !self.track(*at).is_suspected(self.options)
         });
         sound.min_by_key(|at| {
             let view = self.view(*at);
+            let track = self.track(*at);
+            let slots = u64::from(view.slots);
+            let waiting = u64::from(track.work()) * LOAD_UNIT / slots;
+            let room = waiting < FULL_LOAD;
+            let cost = waiting + u64::from(track.open) * OPEN_COST / slots;
+            let distance = if view.local { 0 } else { REMOTE_COST };
             let score = rendezvous_score(fingerprint, view.tag);
-            (!view.local, self.cost(*at), std::cmp::Reverse(score))
+            (!(view.local && room), cost + distance, std::cmp::Reverse(score))
         })
     }
 
-    fn cost(&self, at: usize) -> u64 {
-        let track = &self.tracks[at];
-        let load = u64::from(track.work()) * WORK_COST + u64::from(track.open);
-        load * 64 / u64::from(self.view(at).slots)
+    /// Returns what all hosts together have inferred of an upstream.
+    fn track(&self, at: usize) -> UpstreamTrack {
+        let track = self.tracks[at];
+        track.with_peers(self.peers.get(track.cookie))
     }
 
     /// Returns a cold upstream whose shared budget allows this host one more flow now.
--- a/crates/mustardgrade-core/src/cookie/router.rs
+++ b/crates/mustardgrade-core/src/cookie/router.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::counters::{CookieCounters, DiscardCause, ResetCause};
+use super::load::{LoadEntry, LoadReport, MOST_ENTRIES, PeerLoads};
 use super::memo::{FlowMemo, FlowStage, MemoTable};
 use super::picker::UpstreamPicker;
 use super::snapshot::{CookieMatch, CookieRoute, CookieSnapshot};
@@ -24,6 +25,18 @@
 /// Time after which a payload that is sent again counts as unanswered.
 const REPEAT_TIME: Duration = Duration::from_millis(150);
 
+/// Time after which a request counts as answered, whether its caller has said so or not.
+const ANSWER_TIME: Duration = Duration::from_millis(300);
+
+/// Time for which a sign of life is worth telling the other hosts.
+const TELLING_TIME: Duration = Duration::from_secs(1);
+
+/// Share of the slots in use from which on hosts tell each other their load.
+const PRESSED_USE: f64 = 0.9;
+
+/// Weight of the newest look at the pressure; one host's share of the work is a noisy sample.
+const PRESSURE_GAIN: f64 = 0.2;
+
 /// Idle time of flows while no manifest states one.
 const DEFAULT_IDLE: Duration = Duration::from_secs(60);
 
@@ -136,12 +149,15 @@
     options: CookieOptions,
     snapshot: Arc<CookieSnapshot>,
     tracks: Vec<UpstreamTrack>,
+    peers: Arc<PeerLoads>,
     memos: MemoTable,
     pending: VecDeque<(Duration, FlowKey)>,
+    requests: VecDeque<(Duration, FlowKey)>,
     counters: CookieCounters,
     events: Vec<FlowEvent>,
     swept: Duration,
     expired: Duration,
+    pressure: f64,
 }
 
 impl CookieRouter {
@@ -153,11 +169,14 @@
             options,
             snapshot: Arc::new(CookieSnapshot::default()),
             tracks: Vec::new(),
+            peers: Arc::default(),
             pending: VecDeque::new(),
+            requests: VecDeque::new(),
             counters: CookieCounters::default(),
             events: Vec::new(),
             swept: Duration::ZERO,
             expired: Duration::ZERO,
+            pressure: 0.0,
         }
     }
 
@@ -205,6 +224,56 @@
         self.snapshot = snapshot;
     }
 
+    /// Takes in what the other hosts have inferred of upstreams.
+    pub fn install_loads(&mut self, peers: Arc<PeerLoads>) {
+        self.peers = peers;
+    }
+
+    /// Returns what this host has inferred of the upstreams that matter now.
+    #[must_use]
+    pub fn load_report(&mut self, now: Duration) -> LoadReport {
+        self.follow_pressure(now);
+        let telling = self.tracks.iter().filter(|track| {
+            track.work() > 0
+                || track.unanswered > 0
+                || (!track.alive.is_zero() && now.saturating_sub(track.alive) < TELLING_TIME)
+        });
+        let entry = |track: &UpstreamTrack| LoadEntry {
+            cookie: track.cookie,
+            work: saturate(track.work()),
+            unanswered: saturate(track.unanswered),
+            alive_ms: match track.alive.is_zero() {
+                true => u16::MAX,
+                false => saturate(now.saturating_sub(track.alive).as_millis() as u32),
+            },
+        };
+        let entries = telling.take(MOST_ENTRIES).map(entry).collect();
+        LoadReport { pressed: self.pressure >= PRESSED_USE, entries }
+    }
+
+    /// Follows how much of the room in this data centre is in use, as far as this host can tell from
+    /// its own share of the flows.
+    fn follow_pressure(&mut self, now: Duration) {
+        let hosts = self.snapshot.local_hosts.max(1) as f64;
+        let services = self.snapshot.by_service.values();
+        let most =
+            services.map(|positions| self.use_of(positions, now) * hosts).fold(0.0, f64::max);
+        self.pressure += (most - self.pressure) * PRESSURE_GAIN;
+    }
+
+    /// Returns this host's work in hand at a service's upstreams in this data centre, by slot.
+    fn use_of(&self, positions: &[usize], now: Duration) -> f64 {
+        let local = positions.iter().copied().filter(|at| {
+            let view = &self.snapshot.upstreams[*at];
+            view.local && view.takes_flows(now) && !view.is_cold(now)
+        });
+        let (work, slots) = local.fold((0, 0), |(work, slots), at| {
+            let own = self.tracks[at].work();
+            (work + own, slots + u32::from(self.snapshot.upstreams[at].slots))
+        });
+        f64::from(work) / f64::from(slots.max(1))
+    }
+
     /// Decides on a packet.
     pub fn route(&mut self, packet: &CookiePacket, now: Duration) -> CookieVerdict {
         let snapshot = Arc::clone(&self.snapshot);
@@ -235,12 +304,32 @@
             self.pending.pop_front();
             self.note_missing(&key, sent, now);
         }
+        self.settle_requests(now);
         if now.saturating_sub(self.expired) >= EXPIRY_INTERVAL {
             self.expired = now;
             self.expire(now);
         }
     }
 
+    /// Takes requests for answered whose callers had nothing to acknowledge: a short answer is
+    /// acknowledged with the next request only.
+    fn settle_requests(&mut self, now: Duration) {
+        while let Some((sent, key)) = self.requests.front().copied() {
+            if now.saturating_sub(sent) < ANSWER_TIME {
+                break;
+            }
+            self.requests.pop_front();
+            let Some(memo) = self.memos.get_mut(&key) else { continue };
+            if memo.request != Some(sent) || !memo.counted {
+                continue;
+            }
+            memo.counted = false;
+            if let CookieMatch::Upstream(at) = self.snapshot.find(memo.cookie) {
+                self.tracks[at].busy = self.tracks[at].busy.saturating_sub(1);
+            }
+        }
+    }
+
     fn count(&mut self, verdict: &CookieVerdict, packet: &CookiePacket) {
         match verdict {
             CookieVerdict::Forward { .. } => self.counters.forwarded += 1,
@@ -285,6 +374,7 @@
         let mut picker = UpstreamPicker {
             snapshot,
             tracks: &mut self.tracks,
+            peers: &self.peers,
             options: &self.options.track,
             now,
         };
@@ -385,12 +475,46 @@
         if view.is_gone(now) {
             return self.give_up(route, segment);
         }
+        if self.is_stuck(snapshot, route, at, segment, now) {
+            self.forget(&segment.key);
+            return CookieVerdict::Reset(ResetCause::UpstreamSilent);
+        }
         if segment.closes() {
             self.forget(&segment.key);
         }
         CookieVerdict::Forward { at, cookie: packet.cookie }
     }
 
+    /// Tells whether a flow is better opened anew: its caller sends a repeatable request again and
+    /// again, its upstream answers nobody, and another upstream of the service does.
+    fn is_stuck(
+        &self,
+        snapshot: &CookieSnapshot,
+        route: &CookieRoute,
+        at: usize,
+        segment: &FlowPacket,
+        now: Duration,
+    ) -> bool {
+        let options = &self.options.track;
+        let memo = self.memos.get(&segment.key);
+        let waits = segment.payload_length > 0 && memo.is_some_and(|memo| memo.unanswered);
+        if !waits || route.plan.repeat != RepeatPolicy::Idempotent {
+            return false;
+        }
+        let track = self.tracks[at].with_peers(self.peers.get(self.tracks[at].cookie));
+        if !track.is_silent(options, now) {
+            return false;
+        }
+        let service = snapshot.upstreams[at].service;
+        let others = snapshot.by_service.get(&service).into_iter().flatten();
+        let answers = |other: &&usize| {
+            **other != at
+                && snapshot.upstreams[**other].takes_flows(now)
+                && now.saturating_sub(self.tracks[**other].alive) < options.witness_time
+        };
+        others.filter(answers).count() >= 1
+    }
+
     /// Ends a flow whose upstream is gone, where that helps its caller.
     fn give_up(&mut self, route: &CookieRoute, segment: &FlowPacket) -> CookieVerdict {
         let memo = self.forget(&segment.key);
@@ -428,7 +552,7 @@
         if answered {
             memo.acknowledged = segment.acknowledgement;
             memo.unanswered = false;
-            if memo.request.take().is_some() {
+            if memo.request.take().is_some() && std::mem::take(&mut memo.counted) {
                 self.tracks[at].busy = self.tracks[at].busy.saturating_sub(1);
             }
             self.note_alive(at, now);
@@ -456,7 +580,9 @@
             memo.carried_data = true;
             if memo.request.is_none() {
                 memo.request = Some(now);
+                memo.counted = true;
                 self.tracks[at].busy += 1;
+                self.requests.push_back((now, segment.key));
             }
             return;
         }
@@ -522,7 +648,11 @@
         FlowStage::Opening => track.opening = track.opening.saturating_sub(1),
         FlowStage::Open => track.open = track.open.saturating_sub(1),
     }
-    if memo.request.is_some() {
+    if memo.counted {
         track.busy = track.busy.saturating_sub(1);
     }
 }
+
+fn saturate(value: u32) -> u16 {
+    u16::try_from(value).unwrap_or(u16::MAX)
+}
--- a/crates/mustardgrade-core/src/cookie/snapshot.rs
+++ b/crates/mustardgrade-core/src/cookie/snapshot.rs
@@ -108,6 +108,8 @@
     pub by_service: HashMap<ServiceId, Vec<usize>>,
     /// Hosts of the fleet, for budgets that are shared; 0 while they are not counted yet.
     pub hosts: usize,
+    /// Live hosts of the host's data centre, itself included.
+    pub local_hosts: usize,
     by_cookie: HashMap<FlowCookie, usize>,
 }
 
@@ -129,6 +131,8 @@
     pub data_centre: Option<DataCentreId>,
     /// Live hosts of the fleet, this one included.
     pub hosts: usize,
+    /// Live hosts of the data centre, this one included.
+    pub local_hosts: usize,
     /// Every service that a route has led to, by the route's address.
     pub led_to: HashMap<SocketAddrV4, HashSet<ServiceId>>,
     /// Addresses whose route a manifest dropped.
@@ -163,6 +167,7 @@
         upstreams,
         by_service,
         hosts: scope.hosts,
+        local_hosts: scope.local_hosts,
         by_cookie,
     }
 }
--- a/crates/mustardgrade-core/src/cookie/tests.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Tests of routing by cookie.
--- /dev/null
+++ b/crates/mustardgrade-core/src/cookie/tests/mod.rs
@@ -0,0 +1,7 @@
+//! Tests of routing by cookie.
+
+mod hazards;
+mod placing;
+mod rush;
+mod silence;
+mod world;
--- /dev/null
+++ b/crates/mustardgrade-core/src/cookie/tests/rush.rs
@@ -0,0 +1,188 @@
+//! The load after a power loss, played against a hash over warm upstreams.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::world::{DESK, World, cookie, data, key, ms, syn, upstream};
+use crate::cookie::{CookieRouter, CookieVerdict, PeerLoads};
+use crate::identity::rendezvous_score;
+
+/// Time that an upstream works on a request, in microseconds.
+const WORK_US: u64 = 60_000;
+
+/// Requests that wait at an upstream beyond its slots.
+const QUEUE: usize = 16;
+
+/// Slots of an upstream.
+const SLOTS: usize = 4;
+
+/// Latency objective, in microseconds.
+const OBJECTIVE_US: u64 = 250_000;
+
+/// `Figures` are what callers get.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+struct Figures {
+    in_time: u32,
+    late: u32,
+    shed: u32,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Placing {
+    Hash,
+    Router,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Done { tag: u64, host: usize, caller: u32, asked: u64 },
+    Arrive { host: usize, caller: u32 },
+    Share,
+}
+
+/// `Servers` are upstreams that work, queue and shed.
+#[derive(Default)]
+struct Servers {
+    running: HashMap<u64, usize>,
+    waiting: HashMap<u64, std::collections::VecDeque<(usize, u32, u64)>>,
+}
+
+/// Plays openings of four hosts, two in each data centre; the own one has three upstreams, the other
+/// five. Each new flow carries one request.
+fn play(placing: Placing, arrivals: &[(u64, usize)]) -> Figures {
+    let mut near = World::new();
+    near.add("desk", "a", 1..4);
+    near.add("desk", "b", 4..9);
+    let mut far = World::new();
+    far.add("desk", "a", 1..4);
+    far.add("desk", "b", 4..9);
+    far.scope.data_centre = Some(crate::identity::DataCentreId::from_name("b"));
+    let mut routers: Vec<CookieRouter> =
+        vec![near.router(), near.router(), far.router(), far.router()];
+    let mut events: BinaryHeap<Reverse<(u64, Event)>> = BinaryHeap::new();
+    for (caller, (at, host)) in arrivals.iter().enumerate() {
+        events.push(Reverse((*at, Event::Arrive { host: *host, caller: caller as u32 })));
+    }
+    events.push(Reverse((0, Event::Share)));
+    let mut servers = Servers::default();
+    let mut figures = Figures::default();
+    while let Some(Reverse((at, event))) = events.pop() {
+        match event {
+            Event::Share => {
+                share(&mut routers, at);
+                if !events.is_empty() {
+                    events.push(Reverse((at + 100_000, Event::Share)));
+                }
+            }
+            Event::Arrive { host, caller } => {
+                let tag = place(placing, &mut routers[host], caller, at);
+                start(&mut servers, &mut events, &mut figures, tag, (host, caller, at), at);
+            }
+            Event::Done { tag, host, caller, asked } => {
+                finish(&mut routers[host], caller, tag, at);
+                match at - asked <= OBJECTIVE_US {
+                    true => figures.in_time += 1,
+                    false => figures.late += 1,
+                }
+                *servers.running.entry(tag).or_default() -= 1;
+                if let Some(next) = servers.waiting.entry(tag).or_default().pop_front() {
+                    run(&mut servers, &mut events, tag, next, at);
+                }
+            }
+        }
+    }
+    figures
+}
+
+fn time(at: u64) -> Duration {
+    Duration::from_micros(1_000_000 + at)
+}
+
+fn place(placing: Placing, router: &mut CookieRouter, caller: u32, at: u64) -> u64 {
+    let key = key(caller, DESK);
+    if placing == Placing::Hash {
+        let fingerprint = key.fingerprint(0);
+        return (1..9).max_by_key(|tag| rendezvous_score(fingerprint, *tag)).unwrap_or(1);
+    }
+    let CookieVerdict::Forward { at: position, .. } = router.route(&syn(key, 0), time(at)) else {
+        panic!("a new flow was refused although upstreams have room");
+    };
+    let view = router.snapshot().upstreams[position].clone();
+    let packet = data(key, view.cookie, 101, 1, 200);
+    router.route(&packet, time(at + 4_000));
+    view.tag
+}
+
+fn start(
+    servers: &mut Servers,
+    events: &mut BinaryHeap<Reverse<(u64, Event)>>,
+    figures: &mut Figures,
+    tag: u64,
+    request: (usize, u32, u64),
+    at: u64,
+) {
+    if servers.running.get(&tag).copied().unwrap_or_default() < SLOTS {
+        return run(servers, events, tag, request, at);
+    }
+    let waiting = servers.waiting.entry(tag).or_default();
+    match waiting.len() < QUEUE {
+        true => waiting.push_back(request),
+        false => figures.shed += 1,
+    }
+}
+
+fn run(
+    servers: &mut Servers,
+    events: &mut BinaryHeap<Reverse<(u64, Event)>>,
+    tag: u64,
+    (host, caller, asked): (usize, u32, u64),
+    at: u64,
+) {
+    *servers.running.entry(tag).or_default() += 1;
+    events.push(Reverse((at + WORK_US, Event::Done { tag, host, caller, asked })));
+}
+
+fn finish(router: &mut CookieRouter, caller: u32, tag: u64, at: u64) {
+    let service: SocketAddrV4 = DESK;
+    let mut packet = data(key(caller, service), cookie(&upstream("desk", "a", tag)), 301, 900, 0);
+    packet.segment.flags.fin = true;
+    router.route(&packet, time(at));
+}
+
+/// Hands every router the reports of the others.
+fn share(routers: &mut [CookieRouter], at: u64) {
+    let reports: Vec<_> = routers.iter_mut().map(|r| r.load_report(time(at))).collect();
+    for (host, router) in routers.iter_mut().enumerate() {
+        let mut loads = PeerLoads::default();
+        for (other, report) in reports.iter().enumerate() {
+            if other != host {
+                loads.add(report, time(at));
+            }
+        }
+        router.install_loads(Arc::new(loads));
+        router.sweep(time(at));
+    }
+}
+
+#[test]
+fn rush_is_served_better_than_by_a_hash() {
+    // 80 openings at once in the small data centre, then 380 a second over both.
+    let mut arrivals: Vec<(u64, usize)> = (0..80).map(|n| (n * 500, (n % 2) as usize)).collect();
+    arrivals.extend((0..380).map(|n| (40_000 + n * 2_631, (n % 4) as usize)));
+    let hash = play(Placing::Hash, &arrivals);
+    let router = play(Placing::Router, &arrivals);
+    assert_eq!(router.shed, 0, "{router:?} against {hash:?}");
+    assert!(router.in_time > hash.in_time, "{router:?} against {hash:?}");
+    assert!(router.late + router.shed < (hash.late + hash.shed) / 2, "{router:?}, {hash:?}");
+    assert_eq!(ms(1), Duration::from_millis(1));
+}
+
+#[test]
+fn steady_load_is_served_in_time() {
+    let arrivals: Vec<(u64, usize)> = (0..900).map(|n| (n * 3_700, (n % 4) as usize)).collect();
+    let router = play(Placing::Router, &arrivals);
+    assert_eq!((router.late, router.shed), (0, 0));
+}
--- /dev/null
+++ b/crates/mustardgrade-core/src/cookie/tests/silence.rs
@@ -0,0 +1,167 @@
+//! Upstreams that fall silent, and copies of openings.
+
+use std::sync::Arc;
+
+use super::world::{DESK, REGISTER, World, cookie, data, key, ms, syn, target, upstream};
+use crate::cookie::{
+    CookieRouter, CookieVerdict, FlowEvent, LoadEntry, LoadReport, PeerLoads, ResetCause,
+};
+
+/// Lets upstream `tag` answer the opening of `caller`.
+fn answer(router: &mut CookieRouter, caller: u32, tag: u64, at: u64) {
+    let packet = data(key(caller, DESK), cookie(&upstream("desk", "a", tag)), 101, 1, 0);
+    assert_eq!(target(router, &packet, ms(at)), tag);
+}
+
+/// Opens a flow of `caller` at the upstream that is not suspected, and lets that answer.
+fn open_and_answer(router: &mut CookieRouter, caller: u32, at: u64) {
+    assert_eq!(target(router, &syn(key(caller, DESK), 0), ms(at - 4)), 2);
+    answer(router, caller, 2, at);
+}
+
+/// Opens flows until `count` of them are at upstream 1, and answers those at others.
+fn open_at_first(router: &mut CookieRouter, count: usize, at: u64) -> Vec<u32> {
+    let mut callers = Vec::new();
+    for caller in 0.. {
+        let tag = target(router, &syn(key(caller, DESK), 0), ms(at));
+        match tag {
+            1 => callers.push(caller),
+            _ => answer(router, caller, tag, at + 3),
+        }
+        if callers.len() == count {
+            return callers;
+        }
+    }
+    unreachable!("callers are numbered without end")
+}
+
+#[test]
+fn silent_upstream_gets_no_more_flows_before_the_second_copy() {
+    let mut world = World::new();
+    world.add("desk", "a", 1..4);
+    let mut router = world.router();
+    router.sweep(ms(990));
+    let waiting = open_at_first(&mut router, 2, 1_000);
+    router.sweep(ms(1_050));
+    router.sweep(ms(1_090));
+    let mut events = Vec::new();
+    router.take_events(&mut events);
+    assert!(events.iter().any(|event| matches!(event, FlowEvent::Suspected { .. })));
+    for caller in 100..140 {
+        let tag = target(&mut router, &syn(key(caller, DESK), 0), ms(1_100));
+        assert_ne!(tag, 1);
+        answer(&mut router, caller, tag, 1_103);
+    }
+    // The copies of the openings that wait go elsewhere as well.
+    for caller in &waiting {
+        let tag = target(&mut router, &syn(key(*caller, DESK), 1), ms(1_200));
+        assert_ne!(tag, 1);
+        answer(&mut router, *caller, tag, 1_203);
+    }
+    assert_eq!(router.counters().redirected, 2);
+}
+
+#[test]
+fn sign_of_life_ends_the_suspicion() {
+    let mut world = World::new();
+    world.add("desk", "a", 1..3);
+    let mut router = world.router();
+    router.sweep(ms(990));
+    let waiting = open_at_first(&mut router, 2, 1_000);
+    router.sweep(ms(1_050));
+    router.sweep(ms(1_090));
+    answer(&mut router, waiting[0], 1, 1_095);
+    let open = (200..220)
+        .filter(|caller| target(&mut router, &syn(key(*caller, DESK), 0), ms(1_100)) == 1);
+    assert!(open.count() > 0);
+}
+
+#[test]
+fn copy_stays_with_an_upstream_that_shows_life() {
+    let mut world = World::new();
+    world.add("desk", "a", 1..4);
+    let mut router = world.router();
+    router.sweep(ms(990));
+    let waiting = open_at_first(&mut router, 2, 1_000);
+    answer(&mut router, waiting[1], 1, 1_150);
+    // Two upstreams that answer one opening would leave the caller with a cookie of the wrong one.
+    assert_eq!(target(&mut router, &syn(key(waiting[0], DESK), 1), ms(1_200)), 1);
+}
+
+#[test]
+fn cookie_of_the_caller_decides_where_a_redirected_flow_opened() {
+    let mut world = World::new();
+    world.add("desk", "a", 1..3);
+    let mut router = world.router();
+    let waiting = open_at_first(&mut router, 1, 1_000);
+    assert_eq!(target(&mut router, &syn(key(waiting[0], DESK), 1), ms(1_200)), 2);
+    answer(&mut router, waiting[0], 1, 1_205);
+    let packet = data(key(waiting[0], DESK), cookie(&upstream("desk", "a", 1)), 101, 9, 50);
+    assert_eq!(target(&mut router, &packet, ms(1_300)), 1);
+}
+
+#[test]
+fn pause_of_the_host_itself_raises_no_suspicion() {
+    let mut world = World::new();
+    world.add("desk", "a", 1..3);
+    let mut router = world.router();
+    router.sweep(ms(990));
+    open_at_first(&mut router, 3, 1_000);
+    router.sweep(ms(4_000));
+    assert_eq!(router.counters().suspicions, 0);
+}
+
+/// Lets `callers` open flows at upstream 1, send a request each, and send it again.
+fn stuck_flows(router: &mut CookieRouter, callers: &[u32], service: std::net::SocketAddrV4) {
+    let first = cookie(&upstream("desk", "a", 1));
+    for caller in callers {
+        router.route(&data(key(*caller, service), first, 101, 1, 0), ms(1_000));
+        router.route(&data(key(*caller, service), first, 101, 1, 200), ms(1_010));
+    }
+    for caller in callers {
+        router.route(&data(key(*caller, service), first, 101, 1, 200), ms(1_211));
+    }
+}
+
+#[test]
+fn flows_at_a_silent_upstream_are_reset_where_a_repeat_is_safe() {
+    let mut world = World::new();
+    world.add("desk", "a", 1..3);
+    let mut router = world.router();
+    stuck_flows(&mut router, &[1, 2, 3, 4], DESK);
+    stuck_flows(&mut router, &[5], REGISTER);
+    let first = cookie(&upstream("desk", "a", 1));
+    let again = |caller, service| data(key(caller, service), first, 101, 1, 200);
+    // Without an upstream that answers, this host's own links may be at fault.
+    assert_eq!(target(&mut router, &again(1, DESK), ms(1_900)), 1);
+    open_and_answer(&mut router, 50, 1_900);
+    let verdict = router.route(&again(2, DESK), ms(1_950));
+    assert_eq!(verdict, CookieVerdict::Reset(ResetCause::UpstreamSilent));
+    assert_eq!(target(&mut router, &again(5, REGISTER), ms(1_950)), 1);
+}
+
+#[test]
+fn upstream_that_answers_another_host_is_not_silent() {
+    let mut world = World::new();
+    world.add("desk", "a", 1..3);
+    let mut router = world.router();
+    stuck_flows(&mut router, &[1, 2, 3, 4], DESK);
+    open_and_answer(&mut router, 50, 1_900);
+    let first = cookie(&upstream("desk", "a", 1));
+    let entry = LoadEntry { cookie: first, work: 1, unanswered: 0, alive_ms: 100 };
+    let mut loads = PeerLoads::default();
+    loads.add(&LoadReport { pressed: false, entries: vec![entry] }, ms(1_900));
+    router.install_loads(Arc::new(loads));
+    assert_eq!(target(&mut router, &data(key(1, DESK), first, 101, 1, 200), ms(1_950)), 1);
+}
+
+#[test]
+fn flow_without_a_request_out_is_never_reset() {
+    let mut world = World::new();
+    world.add("desk", "a", 1..3);
+    let mut router = world.router();
+    stuck_flows(&mut router, &[1, 2, 3, 4], DESK);
+    open_and_answer(&mut router, 50, 1_900);
+    let first = cookie(&upstream("desk", "a", 1));
+    assert_eq!(target(&mut router, &data(key(9, DESK), first, 101, 1, 0), ms(1_950)), 1);
+}
--- a/crates/mustardgrade-core/src/cookie/track.rs
+++ b/crates/mustardgrade-core/src/cookie/track.rs
@@ -7,6 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::load::PeerLoad;
 use super::token::FlowCookie;
 
 /// `TrackOptions` are the bounds of suspicion.
@@ -21,8 +22,10 @@
     pub trial_interval: Duration,
     /// Silence on every flow after which an open flow may be reset.
     pub silent_after: Duration,
-    /// Flows without an answer that are needed for a reset.
+    /// Flows without an answer, over all hosts, that are needed for a reset.
     pub silent_flows: u32,
+    /// Time within which another upstream has answered, so that this host's links are well.
+    pub witness_time: Duration,
 }
 
 impl Default for TrackOptions {
@@ -31,8 +34,9 @@
             opening_patience: Duration::from_millis(80),
             suspect_after: 2,
             trial_interval: Duration::from_millis(1_000),
-            silent_after: Duration::from_millis(600),
-            silent_flows: 3,
+            silent_after: Duration::from_millis(700),
+            silent_flows: 4,
+            witness_time: Duration::from_millis(300),
         }
     }
 }
@@ -109,11 +113,29 @@
         now.saturating_sub(self.tried.max(self.unanswered_since)) >= options.trial_interval
     }
 
+    /// Returns the track with what the other hosts have inferred.
+    #[must_use]
+    pub fn with_peers(mut self, peers: PeerLoad) -> Self {
+        self.busy += peers.work;
+        if peers.alive > self.alive {
+            self.alive = peers.alive;
+            if peers.alive >= self.unanswered_since {
+                self.unanswered = 0;
+            }
+        }
+        let alive_since = self.unanswered > 0 && self.alive >= self.unanswered_since;
+        if !alive_since {
+            self.unanswered += peers.unanswered;
+        }
+        self
+    }
+
     /// Tells whether the upstream has been silent on so many flows that open ones are given up.
     #[must_use]
     pub fn is_silent(&self, options: &TrackOptions, now: Duration) -> bool {
         self.unanswered >= options.silent_flows
             && now.saturating_sub(self.unanswered_since) >= options.silent_after
+            && now.saturating_sub(self.alive) >= options.silent_after
     }
 
     /// Returns the work in hand: requests, and openings that will soon bring one.
--- a/crates/mustardgrade-core/src/watch/controller.rs
+++ b/crates/mustardgrade-core/src/watch/controller.rs
@@ -9,10 +9,11 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use super::loads::LoadBoard;
 use super::members::FleetView;
 use super::message::{FleetDigest, FleetMessage, FleetState, MemberHint, StateBatch, millis};
 use super::schedule::WatchSchedule;
-use crate::cookie::{CookieSnapshot, SnapshotScope, build_cookie_snapshot};
+use crate::cookie::{CookieSnapshot, LoadReport, PeerLoads, SnapshotScope, build_cookie_snapshot};
 use crate::identity::{DataCentreId, ServiceId};
 use crate::registry::{ApplyOutcome, Manifest, StateBook, StateKey, StateValue};
 
@@ -98,6 +99,8 @@
     },
     /// The store's answer to the call in progress.
     Store(std::result::Result<StateBatch, StoreFailure>),
+    /// What the host's traffic thread has inferred of upstreams.
+    Load(LoadReport),
     /// The configured peers have changed.
     Seeds(Vec<Ipv4Addr>),
     /// The host shall stop.
@@ -125,6 +128,8 @@
     Call(StoreCall),
     /// What traffic threads need to know has changed.
     Install,
+    /// What the other hosts have inferred of upstreams has changed.
+    Loads(PeerLoads),
     /// Something worth a line in the log has happened.
     Note(WatchNote),
 }
@@ -178,6 +183,16 @@
         /// Age of the last confirmation in milliseconds.
         confirmed_ms: Option<u32>,
     },
+    /// The host begins or ends to tell others of load and silence.
+    #[display("sharing={sharing} pressed={pressed} suspects={suspects}")]
+    Sharing {
+        /// Whether it tells others.
+        sharing: bool,
+        /// Whether its upstreams have little room left.
+        pressed: bool,
+        /// Whether it suspects an upstream itself.
+        suspects: bool,
+    },
     /// The host did not run for a while.
     #[display("stalled for {ms} ms")]
     Stalled {
@@ -255,6 +270,8 @@
     state: FleetState,
     book: StateBook,
     view: FleetView,
+    loads: LoadBoard,
+    sharing: bool,
     rng: ChaCha8Rng,
     started: Duration,
     ticked: Duration,
@@ -291,6 +308,8 @@
             state: FleetState::Starting,
             book: StateBook::default(),
             view: FleetView::default(),
+            loads: LoadBoard::default(),
+            sharing: false,
             rng,
             started: now,
             ticked: now,
@@ -352,6 +371,7 @@
             WatchInput::Message(message) => self.take_message(&message, now, outputs),
             WatchInput::State { from, batch } => self.take_state(from, batch, now, outputs),
             WatchInput::Store(answer) => self.take_store(answer, now, outputs),
+            WatchInput::Load(report) => self.report_load(report, now, outputs),
             WatchInput::Seeds(seeds) => {
                 self.options.seeds = seeds;
                 self.next_seek = now;
@@ -372,6 +392,9 @@
             self.note_stall(gap, outputs);
         }
         self.give_up_call(now, outputs);
+        if self.loads.forget(now) {
+            outputs.push(WatchOutput::Loads(self.loads.sum()));
+        }
         self.seek(now, outputs);
         if now >= self.next_digest {
             self.next_digest = now + DIGEST_INTERVAL;
@@ -421,6 +444,26 @@
         }
     }
 
+    /// Tells the other hosts what this one has inferred of upstreams, while that matters.
+    fn report_load(&mut self, report: LoadReport, now: Duration, outputs: &mut Vec<WatchOutput>) {
+        let (pressed, suspects) = (report.pressed, report.suspects());
+        let sharing = pressed || suspects || self.loads.asks();
+        if sharing != self.sharing {
+            self.sharing = sharing;
+            outputs.push(WatchOutput::Note(WatchNote::Sharing { sharing, pressed, suspects }));
+        }
+        if !sharing {
+            return;
+        }
+        let live = self.view.live(now).filter(|member| member.state == FleetState::Ready);
+        let targets: Vec<Ipv4Addr> =
+            live.map(|member| member.address).sample(&mut self.rng, FANOUT);
+        for to in targets {
+            let message = FleetMessage::Load(self.options.address, report.clone());
+            outputs.push(WatchOutput::Send { to, message });
+        }
+    }
+
     fn me(&self) -> MemberHint {
         MemberHint {
             address: self.options.address,
@@ -500,7 +543,11 @@
         now: Duration,
         outputs: &mut Vec<WatchOutput>,
     ) {
-        let digest = message.digest();
+        if let FleetMessage::Load(from, report) = message {
+            self.loads.learn(*from, report.clone(), now);
+            outputs.push(WatchOutput::Loads(self.loads.sum()));
+        }
+        let Some(digest) = message.digest() else { return };
         let from = digest.sender.address;
         if from == self.options.address {
             return;
@@ -719,6 +766,11 @@
 
     /// Keeps the largest number of hosts seen lately, for budgets that all hosts share.
     fn count_hosts(&mut self, now: Duration, outputs: &mut Vec<WatchOutput>) {
+        let local = self.view.peers(self.options.data_centre, now).count() + 1;
+        if self.scope.local_hosts != local {
+            self.scope.local_hosts = local;
+            outputs.push(WatchOutput::Install);
+        }
         if now.saturating_sub(self.started) < COUNT_TIME {
             return;
         }
--- a/crates/mustardgrade-core/src/watch/message.rs
+++ b/crates/mustardgrade-core/src/watch/message.rs
@@ -6,6 +6,7 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
+use crate::cookie::LoadReport;
 use crate::identity::DataCentreId;
 use crate::registry::StateChange;
 
@@ -78,14 +79,17 @@
     Digest(FleetDigest),
     /// A few changes, passed on as they happen.
     Changes(FleetDigest, StateBatch),
+    /// What the host at an address has inferred of upstreams.
+    Load(Ipv4Addr, LoadReport),
 }
 
 impl FleetMessage {
-    /// Returns the digest that every message holds.
+    /// Returns the digest that the message holds.
     #[must_use]
-    pub fn digest(&self) -> &FleetDigest {
+    pub fn digest(&self) -> Option<&FleetDigest> {
         match self {
-            Self::Digest(digest) | Self::Changes(digest, _) => digest,
+            Self::Digest(digest) | Self::Changes(digest, _) => Some(digest),
+            Self::Load(..) => None,
         }
     }
 }
--- a/crates/mustardgrade-core/src/watch/mod.rs
+++ b/crates/mustardgrade-core/src/watch/mod.rs
@@ -6,6 +6,7 @@
 //! grows with its rank, so that every time bound holds whichever hosts are dead or cut off.
 
 mod controller;
+mod loads;
 mod members;
 mod message;
 mod schedule;
@@ -14,6 +15,7 @@
     StoreCall, StoreFailure, WatchController, WatchInput, WatchNote, WatchOptions, WatchOutput,
     WatchStatus,
 };
+pub use loads::LoadBoard;
 pub use members::{FleetMember, FleetView};
 pub use message::{FleetDigest, FleetMessage, FleetState, MemberHint, StateBatch};
 pub use schedule::WatchSchedule;
--- a/crates/mustardgrade-core/src/watch/schedule.rs
+++ b/crates/mustardgrade-core/src/watch/schedule.rs
@@ -31,7 +31,7 @@
 impl Default for WatchSchedule {
     fn default() -> Self {
         Self {
-            watch_wait: Duration::from_millis(1_500),
+            watch_wait: Duration::from_millis(1_800),
             call_patience: Duration::from_millis(400),
             gather: Duration::from_millis(120),
             takeover: Duration::from_millis(2_250),
--- a/crates/mustardgrade-node/src/fleet/actor.rs
+++ b/crates/mustardgrade-node/src/fleet/actor.rs
@@ -9,6 +9,7 @@
 use kameo::error::Infallible;
 use kameo::message::{Context, Message};
 use mustardgrade_core::clock::Clock;
+use mustardgrade_core::cookie::LoadReport;
 use mustardgrade_core::watch::{
     FleetMessage, FleetState, StateBatch, StoreCall, WatchController, WatchInput, WatchNote,
     WatchOutput,
@@ -66,13 +67,14 @@
     sealer: FrameSealer,
     call: Option<JoinHandle<()>>,
     call_number: u64,
+    report: Arc<LoadReport>,
 }
 
 impl RegistryActor {
     /// Creates the actor's state.
     #[must_use]
     pub fn new(controller: WatchController, links: RegistryLinks, sealer: FrameSealer) -> Self {
-        Self { controller, links, sealer, call: None, call_number: 0 }
+        Self { controller, links, sealer, call: None, call_number: 0, report: Arc::default() }
     }
 
     fn feed(&mut self, input: WatchInput, me: &ActorRef<Self>) {
@@ -85,6 +87,15 @@
         self.publish();
     }
 
+    /// Feeds what the traffic thread has inferred, if that has changed.
+    fn feed_report(&mut self, me: &ActorRef<Self>) {
+        let report = self.links.shared.report.load_full();
+        if !Arc::ptr_eq(&report, &self.report) {
+            self.report = Arc::clone(&report);
+            self.feed(WatchInput::Load(LoadReport::clone(&report)), me);
+        }
+    }
+
     fn carry_out(&mut self, output: WatchOutput, me: &ActorRef<Self>) {
         match output {
             WatchOutput::Send { to, message } => self.send(to, message),
@@ -93,14 +104,15 @@
             WatchOutput::Install => {
                 self.links.shared.snapshot.store(Arc::new(self.controller.snapshot()));
             }
+            WatchOutput::Loads(loads) => self.links.shared.peers.store(Arc::new(loads)),
             WatchOutput::Note(note) => self.write(&note),
         }
     }
 
     fn send(&mut self, to: Ipv4Addr, message: FleetMessage) {
         let mut frame = self.sealer.seal(&PeerBody::Fleet(message.clone()), &[]);
-        if frame.len() > MAX_CHANGES {
-            let digest = FleetMessage::Digest(message.digest().clone());
+        if let (true, Some(digest)) = (frame.len() > MAX_CHANGES, message.digest()) {
+            let digest = FleetMessage::Digest(digest.clone());
             frame = self.sealer.seal(&PeerBody::Fleet(digest), &[]);
         }
         self.links.metrics.count_bytes(ByteKind::ControlSent, frame.len());
@@ -196,6 +208,9 @@
 
     async fn handle(&mut self, input: WatchInput, context: &mut Context<Self, ()>) {
         let me = context.actor_ref().clone();
+        if input == WatchInput::Tick {
+            self.feed_report(&me);
+        }
         self.feed(input, &me);
     }
 }
--- a/crates/mustardgrade-node/src/fleet/lane.rs
+++ b/crates/mustardgrade-node/src/fleet/lane.rs
@@ -10,6 +10,7 @@
 use mustardgrade_core::clock::Clock;
 use mustardgrade_core::cookie::{
     CookieOptions, CookiePacket, CookieRouter, CookieSnapshot, CookieVerdict, FlowEvent,
+    LoadReport, PeerLoads,
 };
 
 use super::edges::{PacketEdge, UpstreamTarget};
@@ -29,6 +30,9 @@
 /// Wait after which the socket counts as drained.
 const DRAINED_TIME: Duration = Duration::from_micros(50);
 
+/// Time between two reports of what is inferred of upstreams.
+const REPORT_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Packets between two publications of counters.
 const PUBLISH_PACKETS: u32 = 64;
 
@@ -37,6 +41,10 @@
 pub(crate) struct FleetShared {
     /// What the traffic thread needs to know.
     pub(crate) snapshot: ArcSwap<CookieSnapshot>,
+    /// What the other hosts have inferred of upstreams.
+    pub(crate) peers: ArcSwap<PeerLoads>,
+    /// What the traffic thread has inferred of upstreams.
+    pub(crate) report: ArcSwap<LoadReport>,
     /// Whether the traffic thread shall end.
     pub(crate) stop: AtomicBool,
     /// When the last packet arrived, in milliseconds of the host's clock.
@@ -58,6 +66,9 @@
             packets,
             router: CookieRouter::new(options),
             installed: Arc::new(CookieSnapshot::default()),
+            peers: Arc::default(),
+            reported: Duration::ZERO,
+            told: false,
             shared,
             metrics,
             clock,
@@ -76,6 +87,10 @@
     packets: Box<dyn PacketEdge>,
     router: CookieRouter,
     installed: Arc<CookieSnapshot>,
+    peers: Arc<PeerLoads>,
+    reported: Duration,
+    /// Whether the last report said anything that the other hosts need.
+    told: bool,
     shared: Arc<FleetShared>,
     metrics: Arc<HostMetrics>,
     clock: UnixClock,
@@ -123,6 +138,11 @@
             self.installed = Arc::clone(&snapshot);
             self.router.install(Arc::clone(&snapshot));
         }
+        let peers = self.shared.peers.load();
+        if !Arc::ptr_eq(&peers, &self.peers) {
+            self.peers = Arc::clone(&peers);
+            self.router.install_loads(Arc::clone(&peers));
+        }
     }
 
     fn note_error(&self, error: &std::io::Error) {
@@ -169,6 +189,14 @@
         for event in self.events.drain(..) {
             self.lines.write(&event, &self.installed, now);
         }
+        if now.saturating_sub(self.reported) >= REPORT_INTERVAL {
+            self.reported = now;
+            let report = self.router.load_report(now);
+            if report.pressed || report.suspects() || !self.peers.is_empty() || self.told {
+                self.told = report.pressed || report.suspects();
+                self.shared.report.store(Arc::new(report));
+            }
+        }
         self.unpublished += 1;
         if self.unpublished >= PUBLISH_PACKETS || self.timeout == REST_TIME {
             self.unpublished = 0;
