--- a/crates/mustardgrade-core/src/watch/controller.rs
+++ b/crates/mustardgrade-core/src/watch/controller.rs
@@ -23,6 +23,12 @@
 /// Time between two introductions of a host that knows nothing yet.
 const INTRODUCE_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time before a takeover at which a host asks others whether it has only missed a confirmation.
+const PULL_LEAD: Duration = Duration::from_millis(350);
+
+/// Hosts that are asked so.
+const PULLS: usize = 3;
+
 /// Time between two introductions to the configured peers of a host that hears nobody.
 const SEEK_INTERVAL: Duration = Duration::from_millis(1_000);
 
@@ -280,6 +286,7 @@
     next_call: Duration,
     next_digest: Duration,
     next_seek: Duration,
+    next_pull: Duration,
     watching: bool,
     failures: u32,
     regained: Option<Duration>,
@@ -318,6 +325,7 @@
             next_call: now,
             next_digest: now,
             next_seek: now,
+            next_pull: now,
             watching: false,
             failures: 0,
             regained: None,
@@ -396,6 +404,7 @@
             outputs.push(WatchOutput::Loads(self.loads.sum()));
         }
         self.seek(now, outputs);
+        self.pull(now, outputs);
         if now >= self.next_digest {
             self.next_digest = now + DIGEST_INTERVAL;
             self.gossip(now, outputs);
@@ -444,6 +453,24 @@
         }
     }
 
+    /// Asks some hosts for a digest before the store is called in the watchers' place: a call to the
+    /// store is dear, and a digest that was lost or is slow to spread is no reason for one.
+    fn pull(&mut self, now: Duration, outputs: &mut Vec<WatchOutput>) {
+        let age = now.saturating_sub(self.confirmed.unwrap_or(self.started));
+        let rank = self.view.rank(&self.me(), now);
+        let due = self.options.schedule.takeover_age(rank).saturating_sub(PULL_LEAD);
+        if self.state != FleetState::Ready || rank == 0 || age < due || now < self.next_pull {
+            return;
+        }
+        self.next_pull = now + PULL_LEAD;
+        let mut digest = self.digest(now);
+        digest.introduce = true;
+        let live = self.view.live(now).map(|member| member.address);
+        for to in live.sample(&mut self.rng, PULLS) {
+            outputs.push(WatchOutput::Send { to, message: FleetMessage::Digest(digest.clone()) });
+        }
+    }
+
     /// Tells the other hosts what this one has inferred of upstreams, while that matters.
     fn report_load(&mut self, report: LoadReport, now: Duration, outputs: &mut Vec<WatchOutput>) {
         let (pressed, suspects) = (report.pressed, report.suspects());
@@ -471,6 +498,7 @@
             incarnation: self.options.incarnation,
             strength: self.options.strength,
             state: self.state,
+            watching: self.watching,
             heard_ms: 0,
         }
     }
@@ -630,6 +658,9 @@
             let failures = std::mem::take(&mut self.failures);
             self.regained = Some(now);
             outputs.push(WatchOutput::Note(WatchNote::StoreRegained { failures }));
+        } else if !self.is_covered(now) {
+            // Nobody has confirmed the registry for a while: the store may have been away.
+            self.regained = Some(now);
         }
         let batch = match call.call {
             StoreCall::ReadAll { .. } => self.complete(batch),
@@ -820,13 +851,19 @@
     }
 
     /// Tells whether the host calls the store now.
+    ///
+    /// One host of each data centre does; the others do when nothing confirms the registry in time.
     fn is_on_duty(&self, rank: usize, now: Duration) -> bool {
         let age = now.saturating_sub(self.confirmed.unwrap_or(self.started));
-        let settled = now.saturating_sub(self.started) >= self.options.schedule.settle;
-        match rank {
-            0 => settled || (self.confirmed.is_none() && is_first(&self.options)),
-            _ => age >= self.options.schedule.takeover_age(rank),
+        if age >= self.options.schedule.takeover_age(rank) {
+            return true;
         }
+        if self.watching {
+            return !self.view.has_watcher(&self.me(), true, now);
+        }
+        let settled = now.saturating_sub(self.started) >= self.options.schedule.settle;
+        let vacant = rank == 0 && settled && !self.view.has_watcher(&self.me(), false, now);
+        vacant || (self.confirmed.is_none() && is_first(&self.options))
     }
 
     fn call(&mut self, call: StoreCall, now: Duration, outputs: &mut Vec<WatchOutput>) {
--- a/crates/mustardgrade-core/src/watch/members.rs
+++ b/crates/mustardgrade-core/src/watch/members.rs
@@ -29,11 +29,17 @@
     pub strength: u16,
     /// The step of its life.
     pub state: FleetState,
+    /// Whether it watches the store.
+    pub watching: bool,
     /// When it was last heard, by any host.
     pub heard: Duration,
 }
 
 impl FleetMember {
+    fn order(&self) -> (u16, u64) {
+        duty_order(self.data_centre, self.address, self.strength)
+    }
+
     fn hint(&self, now: Duration) -> MemberHint {
         MemberHint {
             address: self.address,
@@ -41,6 +47,7 @@
             incarnation: self.incarnation,
             strength: self.strength,
             state: self.state,
+            watching: self.watching,
             heard_ms: millis(now.saturating_sub(self.heard)),
         }
     }
@@ -69,6 +76,7 @@
             incarnation: hint.incarnation,
             strength: hint.strength,
             state: hint.state,
+            watching: hint.watching,
             heard,
         };
         let live = is_live(&member, now);
@@ -100,24 +108,35 @@
     /// Returns how many live hosts of `me`'s data centre come before `me` in the order of duties.
     #[must_use]
     pub fn rank(&self, me: &MemberHint, now: Duration) -> usize {
-        let order = |address: Ipv4Addr, strength: u16| {
-            let key = u64::from(u32::from(address));
-            (strength, rendezvous_score(me.data_centre.0, key))
-        };
-        let mine = order(me.address, me.strength);
-        let peers = self.peers(me.data_centre, now);
-        peers.filter(|member| order(member.address, member.strength) > mine).count()
+        let mine = duty_order(me.data_centre, me.address, me.strength);
+        self.peers(me.data_centre, now).filter(|member| member.order() > mine).count()
+    }
+
+    /// Tells whether another live host of `me`'s data centre watches the store; with `before`, one
+    /// that comes before `me` in the order of duties.
+    #[must_use]
+    pub fn has_watcher(&self, me: &MemberHint, before: bool, now: Duration) -> bool {
+        let mine = duty_order(me.data_centre, me.address, me.strength);
+        let mut watchers = self.peers(me.data_centre, now).filter(|member| member.watching);
+        watchers.any(|member| !before || member.order() > mine)
     }
 
-    /// Returns hints of the hosts at `at`, `at + 1` and so on, around the end.
+    /// Returns hints of watching hosts, and of those at `at`, `at + 1` and so on, around the end.
     #[must_use]
     pub fn hints(&self, at: usize, count: usize, now: Duration) -> Vec<MemberHint> {
         let live: Vec<&FleetMember> = self.live(now).collect();
-        let count = count.min(live.len());
-        (0..count).map(|step| live[(at + step) % live.len()].hint(now)).collect()
+        let rotated = (0..live.len()).map(|step| live[(at + step) % live.len()]);
+        let watching = rotated.clone().filter(|member| member.watching).take(count / 2);
+        let others = rotated.filter(|member| !member.watching);
+        watching.chain(others).take(count).map(|member| member.hint(now)).collect()
     }
 }
 
+/// Returns the place of a host in the order of duties; larger values come first.
+fn duty_order(data_centre: DataCentreId, address: Ipv4Addr, strength: u16) -> (u16, u64) {
+    (strength, rendezvous_score(data_centre.0, u64::from(u32::from(address))))
+}
+
 fn is_live(member: &FleetMember, now: Duration) -> bool {
     now.saturating_sub(member.heard) < LIVE_TIME
 }
--- a/crates/mustardgrade-core/src/watch/message.rs
+++ b/crates/mustardgrade-core/src/watch/message.rs
@@ -39,6 +39,8 @@
     pub strength: u16,
     /// The step of its life.
     pub state: FleetState,
+    /// Whether it watches the store.
+    pub watching: bool,
     /// Milliseconds since it was last heard, by any host.
     pub heard_ms: u32,
 }
--- a/crates/mustardgrade-core/src/watch/schedule.rs
+++ b/crates/mustardgrade-core/src/watch/schedule.rs
@@ -33,7 +33,7 @@
         Self {
             watch_wait: Duration::from_millis(1_800),
             call_patience: Duration::from_millis(400),
-            gather: Duration::from_millis(120),
+            gather: Duration::from_millis(250),
             takeover: Duration::from_millis(2_250),
             takeover_step: Duration::from_millis(150),
             boot_patience: Duration::from_millis(40),
