Leave the rotation when a cut leaves no upstream in reach; find hosts again after a cut

After: a host whose new flows find nothing but silent upstreams, and that hears no other data centre, is not ready until it does; each round one silent host is spoken to.

--- a/crates/mustardgrade-core/src/cookie/load.rs
+++ b/crates/mustardgrade-core/src/cookie/load.rs
@@ -30,6 +30,8 @@
 pub struct LoadReport {
     /// Whether the upstreams of the host have little room left.
     pub pressed: bool,
+    /// Whether new flows of some service find nothing but silent upstreams.
+    pub stranded: bool,
     /// The upstreams.
     pub entries: Vec<LoadEntry>,
 }
@@ -45,7 +47,7 @@
     #[must_use]
     pub fn only(&self, about: &HashSet<FlowCookie>) -> Self {
         let entries = self.entries.iter().filter(|entry| about.contains(&entry.cookie));
-        Self { pressed: self.pressed, entries: entries.copied().collect() }
+        Self { pressed: self.pressed, stranded: self.stranded, entries: entries.copied().collect() }
     }
 }
 
--- a/crates/mustardgrade-core/src/cookie/picker.rs
+++ b/crates/mustardgrade-core/src/cookie/picker.rs
@@ -37,6 +37,8 @@
     pub(super) cold: bool,
     /// Whether it stands in another data centre.
     pub(super) spilled: bool,
+    /// Whether every upstream that takes flows is suspected.
+    pub(super) stranded: bool,
 }
 
 /// `UpstreamPicker` chooses among the upstreams of a snapshot.
@@ -87,7 +89,7 @@
         // Every warm upstream is suspected: one of them may live all the same.
         let warm = candidates.iter().copied().filter(|at| !self.view(*at).is_cold(self.now));
         let at = warm.max_by_key(|at| rendezvous_score(fingerprint, self.view(*at).tag))?;
-        Some(self.picked(at, false))
+        Some(PickedUpstream { stranded: true, ..self.picked(at, false) })
     }
 
     fn view(&self, at: usize) -> &UpstreamView {
@@ -95,7 +97,7 @@
     }
 
     fn picked(&self, at: usize, cold: bool) -> PickedUpstream {
-        PickedUpstream { at, cold, spilled: !self.view(at).local }
+        PickedUpstream { at, cold, spilled: !self.view(at).local, stranded: false }
     }
 
     /// Returns a suspected upstream that is due to be tried.
--- a/crates/mustardgrade-core/src/cookie/router.rs
+++ b/crates/mustardgrade-core/src/cookie/router.rs
@@ -31,6 +31,9 @@
 /// Time for which a sign of life is worth telling the other hosts.
 const TELLING_TIME: Duration = Duration::from_secs(1);
 
+/// Time for which a new flow that found nothing but silent upstreams tells the present.
+const STRANDED_TIME: Duration = Duration::from_millis(300);
+
 /// Share of the slots in use from which on hosts tell each other their load.
 const PRESSED_USE: f64 = 1.1;
 
@@ -158,6 +161,7 @@
     swept: Duration,
     expired: Duration,
     pressure: f64,
+    stranded: Option<Duration>,
 }
 
 impl CookieRouter {
@@ -177,6 +181,7 @@
             swept: Duration::ZERO,
             expired: Duration::ZERO,
             pressure: 0.0,
+            stranded: None,
         }
     }
 
@@ -248,7 +253,11 @@
             },
         };
         let entries = telling.take(MOST_ENTRIES).map(entry).collect();
-        LoadReport { pressed: self.pressure >= PRESSED_USE, entries }
+        LoadReport {
+            pressed: self.pressure >= PRESSED_USE,
+            stranded: self.stranded.is_some_and(|at| now.saturating_sub(at) < STRANDED_TIME),
+            entries,
+        }
     }
 
     /// Follows how much of the room in this data centre is in use, as far as this host can tell from
@@ -393,6 +402,9 @@
             self.counters.redirected += 1;
             self.events.push(FlowEvent::Redirected { key, from, to: cookie });
         }
+        if picked.stranded {
+            self.stranded = Some(now);
+        }
         self.counters.opened += 1;
         self.counters.opened_cold += u64::from(picked.cold);
         self.counters.spilled += u64::from(picked.spilled);
--- a/crates/mustardgrade-core/src/cookie/tests/silence.rs
+++ b/crates/mustardgrade-core/src/cookie/tests/silence.rs
@@ -150,7 +150,7 @@
     let first = cookie(&upstream("desk", "a", 1));
     let entry = LoadEntry { cookie: first, work: 1, unanswered: 0, alive_ms: 100 };
     let mut loads = PeerLoads::default();
-    loads.add(&LoadReport { pressed: false, entries: vec![entry] }, ms(1_900));
+    loads.add(&LoadReport { pressed: false, stranded: false, entries: vec![entry] }, ms(1_900));
     router.install_loads(Arc::new(loads));
     assert_eq!(target(&mut router, &data(key(1, DESK), first, 101, 1, 200), ms(1_950)), 1);
 }
@@ -259,3 +259,17 @@
     fresh.install(Arc::clone(router.snapshot()));
     target(&mut fresh, &syn(key(caller, DESK), 0), ms(1_000))
 }
+
+#[test]
+fn host_that_reaches_no_upstream_says_so() {
+    let mut world = World::new();
+    world.add("desk", "b", 1..3);
+    let mut router = world.router();
+    for caller in 0..100 {
+        let at = ms(1_000 + u64::from(caller) * 10);
+        router.sweep(at);
+        target(&mut router, &syn(key(caller, DESK), 0), at);
+    }
+    assert!(router.load_report(ms(2_000)).stranded);
+    assert!(!router.load_report(ms(2_500)).stranded);
+}
--- a/crates/mustardgrade-core/src/watch/controller.rs
+++ b/crates/mustardgrade-core/src/watch/controller.rs
@@ -32,6 +32,13 @@
 /// Time between two introductions to the configured peers of a host that hears nobody.
 const SEEK_INTERVAL: Duration = Duration::from_millis(1_000);
 
+/// Silence of every host of every other data centre that stands for a cut; digests come from each
+/// data centre several times in it.
+const CUT_SILENCE: Duration = Duration::from_millis(700);
+
+/// Time after which an isolated host tries again whether it can serve.
+const ISOLATION_TIME: Duration = Duration::from_secs(10);
+
 /// Hosts named in a digest; digests stay below 400 bytes.
 const HINTS: usize = 6;
 
@@ -189,6 +196,12 @@
         /// Age of the last confirmation in milliseconds.
         confirmed_ms: Option<u32>,
     },
+    /// The host leaves or rejoins the rotation of the platform.
+    #[display("isolated={isolated}")]
+    Isolated {
+        /// Whether callers are better served elsewhere.
+        isolated: bool,
+    },
     /// The host begins or ends to tell others of load and silence.
     #[display("sharing={sharing} pressed={pressed} suspects={suspects}")]
     Sharing {
@@ -278,6 +291,7 @@
     view: FleetView,
     loads: LoadBoard,
     sharing: bool,
+    isolated: Option<Duration>,
     rng: ChaCha8Rng,
     started: Duration,
     ticked: Duration,
@@ -317,6 +331,7 @@
             view: FleetView::default(),
             loads: LoadBoard::default(),
             sharing: false,
+            isolated: None,
             rng,
             started: now,
             ticked: now,
@@ -405,6 +420,9 @@
         }
         self.seek(now, outputs);
         self.pull(now, outputs);
+        if self.isolated.is_some() {
+            self.follow_isolation(false, now, outputs);
+        }
         if now >= self.next_digest {
             self.next_digest = now + DIGEST_INTERVAL;
             self.gossip(now, outputs);
@@ -473,6 +491,7 @@
 
     /// Tells the other hosts what this one has inferred of upstreams, while that matters.
     fn report_load(&mut self, report: LoadReport, now: Duration, outputs: &mut Vec<WatchOutput>) {
+        self.follow_isolation(report.stranded, now, outputs);
         let (pressed, suspects) = (report.pressed, report.suspects());
         let asked = self.loads.suspected();
         let report = match pressed || suspects || self.loads.pressed() {
@@ -501,6 +520,29 @@
         }
     }
 
+    /// Tells whether callers are better served by another data centre's hosts.
+    #[must_use]
+    pub fn is_isolated(&self) -> bool {
+        self.isolated.is_some()
+    }
+
+    /// Takes the host for isolated while its new flows find nothing but silent upstreams and no host
+    /// of another data centre is heard: the platform then turns to hosts that reach more.
+    fn follow_isolation(&mut self, stranded: bool, now: Duration, outputs: &mut Vec<WatchOutput>) {
+        let near = self.options.data_centre;
+        let mut others = self.view.known().filter(|member| member.data_centre != near).peekable();
+        let cut_off = others.peek().is_some()
+            && others.all(|member| now.saturating_sub(member.heard) >= CUT_SILENCE);
+        let isolated = match self.isolated {
+            Some(since) => cut_off && now.saturating_sub(since) < ISOLATION_TIME,
+            None => cut_off && stranded,
+        };
+        if isolated != self.isolated.is_some() {
+            self.isolated = isolated.then_some(now);
+            outputs.push(WatchOutput::Note(WatchNote::Isolated { isolated }));
+        }
+    }
+
     fn me(&self) -> MemberHint {
         MemberHint {
             address: self.options.address,
@@ -524,13 +566,16 @@
         }
     }
 
-    /// Sends a digest to one host of the own data centre and one of any.
+    /// Sends a digest to one host of the own data centre, one of any, and one that has fallen silent:
+    /// the end of a cut shows by an answer.
     fn gossip(&mut self, now: Duration, outputs: &mut Vec<WatchOutput>) {
         let message = FleetMessage::Digest(self.digest(now));
         let near = self.view.peers(self.options.data_centre, now).choose(&mut self.rng);
         let near = near.map(|member| member.address);
         let far = self.view.live(now).choose(&mut self.rng).map(|member| member.address);
-        for to in [near, far.filter(|far| Some(*far) != near)].into_iter().flatten() {
+        let lost = self.view.known().filter(|member| !member.is_live(now)).choose(&mut self.rng);
+        let lost = lost.map(|member| member.address);
+        for to in [near, far.filter(|far| Some(*far) != near), lost].into_iter().flatten() {
             outputs.push(WatchOutput::Send { to, message: message.clone() });
         }
     }
--- a/crates/mustardgrade-core/src/watch/members.rs
+++ b/crates/mustardgrade-core/src/watch/members.rs
@@ -10,7 +10,7 @@
 use crate::identity::{DataCentreId, rendezvous_score};
 
 /// Silence after which a host no longer counts as live; hints take a few rounds to spread.
-const LIVE_TIME: Duration = Duration::from_millis(2_500);
+const LIVE_TIME: Duration = Duration::from_millis(3_500);
 
 /// Silence after which a host is forgotten.
 const FORGET_TIME: Duration = Duration::from_secs(60);
@@ -36,6 +36,12 @@
 }
 
 impl FleetMember {
+    /// Tells whether the host was heard lately.
+    #[must_use]
+    pub fn is_live(&self, now: Duration) -> bool {
+        now.saturating_sub(self.heard) < LIVE_TIME
+    }
+
     fn order(&self) -> (u16, u64) {
         duty_order(self.data_centre, self.address, self.strength)
     }
@@ -69,7 +75,7 @@
             return false;
         }
         let fresh = known
-            .is_none_or(|member| member.incarnation != hint.incarnation || !is_live(member, now));
+            .is_none_or(|member| member.incarnation != hint.incarnation || !member.is_live(now));
         let member = FleetMember {
             address: hint.address,
             data_centre: hint.data_centre,
@@ -79,7 +85,7 @@
             watching: hint.watching,
             heard,
         };
-        let live = is_live(&member, now);
+        let live = member.is_live(now);
         self.members.insert(hint.address, member);
         fresh && live
     }
@@ -89,9 +95,14 @@
         self.members.retain(|_, member| now.saturating_sub(member.heard) < FORGET_TIME);
     }
 
+    /// Returns every host that was heard within the last minute.
+    pub fn known(&self) -> impl Iterator<Item = &FleetMember> {
+        self.members.values()
+    }
+
     /// Returns the live hosts.
     pub fn live(&self, now: Duration) -> impl Iterator<Item = &FleetMember> {
-        self.members.values().filter(move |member| is_live(member, now))
+        self.members.values().filter(move |member| member.is_live(now))
     }
 
     /// Returns the live hosts of a data centre that keep serving.
@@ -136,7 +147,3 @@
 fn duty_order(data_centre: DataCentreId, address: Ipv4Addr, strength: u16) -> (u16, u64) {
     (strength, rendezvous_score(data_centre.0, u64::from(u32::from(address))))
 }
-
-fn is_live(member: &FleetMember, now: Duration) -> bool {
-    now.saturating_sub(member.heard) < LIVE_TIME
-}
--- a/crates/mustardgrade-core/src/watch/tests/fleet.rs
+++ b/crates/mustardgrade-core/src/watch/tests/fleet.rs
@@ -9,6 +9,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use crate::cookie::LoadReport;
 use crate::identity::{DataCentreId, ServiceId};
 use crate::registry::{Manifest, ReportedState, StateChange, StateKey, StateValue, UpstreamReport};
 use crate::watch::{
@@ -185,6 +186,12 @@
         self.hosts[host].frozen_until = self.now + time;
     }
 
+    /// Lets a host's traffic thread say that it reaches no upstream.
+    pub(super) fn strand(&mut self, host: usize) {
+        let report = LoadReport { pressed: false, stranded: true, entries: Vec::new() };
+        self.feed(host, WatchInput::Load(report));
+    }
+
     pub(super) fn controller(&self, host: usize) -> Option<&WatchController> {
         self.hosts[host].controller.as_ref()
     }
--- a/crates/mustardgrade-core/src/watch/tests/outages.rs
+++ b/crates/mustardgrade-core/src/watch/tests/outages.rs
@@ -169,3 +169,35 @@
     world.run(secs(2.0));
     assert!(world.in_force(&[7], 2, since) <= secs(1.0));
 }
+
+#[test]
+fn stranded_host_leaves_the_rotation_only_in_a_cut() {
+    let mut world = FleetWorld::at_rest(13, 8);
+    let stranded = |world: &mut FleetWorld| {
+        world.strand(4);
+        world.controller(4).is_some_and(|controller| controller.is_isolated())
+    };
+    world.run(secs(1.0));
+    // Other data centres are heard: their hosts reach no more than this one.
+    assert!(!stranded(&mut world));
+    world.cuts.extend([(0, 1), (1, 2)]);
+    world.run(secs(1.0));
+    assert!(stranded(&mut world));
+    world.cuts.clear();
+    world.run(secs(1.5));
+    let isolated = world.controller(4).map(|controller| controller.is_isolated());
+    assert_eq!(isolated, Some(false));
+}
+
+#[test]
+fn hosts_hear_each_other_again_after_a_long_cut() {
+    let mut world = FleetWorld::at_rest(13, 9);
+    world.cuts.extend([(0, 1), (1, 2), (0, 2)]);
+    world.run(secs(10.0));
+    world.cuts.clear();
+    world.run(secs(3.0));
+    for host in everyone(&world) {
+        let status = world.controller(host).map(|controller| controller.status(world.now));
+        assert!(status.is_some_and(|status| status.hosts >= 12), "host {host}: {status:?}");
+    }
+}
--- a/crates/mustardgrade-node/src/fleet/actor.rs
+++ b/crates/mustardgrade-node/src/fleet/actor.rs
@@ -170,10 +170,12 @@
     /// Publishes what operators and the platform read.
     fn publish(&self) {
         let status = self.controller.status(self.links.clock.now());
-        let ready = status.state == FleetState::Ready;
+        let ready = status.state == FleetState::Ready && !self.controller.is_isolated();
         let changed = |current: &mut bool| std::mem::replace(current, ready) != ready;
         if self.links.ready.send_if_modified(changed) {
-            log::info!(host = self.links.name.as_str(), state:% = status.state; "host state");
+            log::info!(
+                host = self.links.name.as_str(), state:% = status.state, ready; "host state"
+            );
             let page = FleetStatus::new(&self.links.name, &status);
             self.links.status.send_replace(page.to_json());
         }
--- a/crates/mustardgrade-node/src/fleet/lane.rs
+++ b/crates/mustardgrade-node/src/fleet/lane.rs
@@ -192,8 +192,9 @@
         if now.saturating_sub(self.reported) >= REPORT_INTERVAL {
             self.reported = now;
             let report = self.router.load_report(now);
-            if report.pressed || report.suspects() || !self.peers.is_empty() || self.told {
-                self.told = report.pressed || report.suspects();
+            let telling = report.pressed || report.stranded || report.suspects();
+            if telling || !self.peers.is_empty() || self.told {
+                self.told = telling;
                 self.shared.report.store(Arc::new(report));
             }
         }
