--- a/crates/mustardgrade-core/src/cookie/counters.rs
+++ b/crates/mustardgrade-core/src/cookie/counters.rs
@@ -31,6 +31,9 @@
     /// No upstream can take the new flow: nothing ran.
     #[display("no_upstream")]
     NoUpstream,
+    /// Every upstream has too much to do for the new flow: nothing ran.
+    #[display("no_room")]
+    NoRoom,
     /// No route has the address of the new flow: nothing ran.
     #[display("no_route")]
     NoRoute,
--- a/crates/mustardgrade-core/src/cookie/load.rs
+++ b/crates/mustardgrade-core/src/cookie/load.rs
@@ -61,6 +61,8 @@
     pub unanswered: u32,
     /// Last sign of life, by the clock of the host that adds up.
     pub alive: Duration,
+    /// Hosts that have work at the upstream.
+    pub hosts: u32,
 }
 
 /// `PeerLoads` adds up the reports of the other hosts.
@@ -76,6 +78,7 @@
         for entry in &report.entries {
             let load = self.loads.entry(entry.cookie).or_default();
             load.work += u32::from(entry.work);
+            load.hosts += u32::from(entry.work > 0);
             load.unanswered += u32::from(entry.unanswered);
             if entry.alive_ms != u16::MAX {
                 let age = Duration::from_millis(u64::from(entry.alive_ms));
--- a/crates/mustardgrade-core/src/cookie/picker.rs
+++ b/crates/mustardgrade-core/src/cookie/picker.rs
@@ -28,6 +28,30 @@
 /// New flows a second that all hosts together send to one cold upstream beyond its stated rate.
 const COLD_ALLOWANCE: f64 = 1.0;
 
+/// Load up to which every new flow is taken, whatever its priority: its request waits for little
+/// more than one other at each slot.
+const TAKE_LOAD: u64 = LOAD_UNIT * 9 / 4;
+
+/// Load from which on no new flow is taken; what waits longer is late.
+const REFUSE_LOAD: u64 = LOAD_UNIT * 7 / 2;
+
+/// Load that a step of priority is worth: the least urgent is refused first.
+const PRIORITY_LOAD: u64 = LOAD_UNIT / 4;
+
+/// Least urgent priority that is told apart.
+const LEAST_PRIORITY: u32 = 3;
+
+/// `PickOutcome` is what becomes of a new flow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum PickOutcome {
+    /// It goes to an upstream.
+    Picked(PickedUpstream),
+    /// Every upstream has so much to do that the flow's request would be late and delay others.
+    Full,
+    /// No upstream takes new flows.
+    Nothing,
+}
+
 /// `PickedUpstream` is the upstream chosen for a new flow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct PickedUpstream {
@@ -65,31 +89,53 @@
         None
     }
 
-    /// Chooses an upstream of `service`, other than `avoid`.
+    /// Chooses an upstream of `service`, other than `avoid`, for a flow of some priority.
     pub(super) fn pick(
         &mut self,
         service: ServiceId,
         fingerprint: u64,
+        priority: u32,
         avoid: Option<usize>,
-    ) -> Option<PickedUpstream> {
-        let candidates = self.snapshot.by_service.get(&service)?;
+    ) -> PickOutcome {
+        let Some(candidates) = self.snapshot.by_service.get(&service) else {
+            return PickOutcome::Nothing;
+        };
         let usable = |at: &&usize| {
             Some(**at) != avoid && self.snapshot.upstreams[**at].takes_flows(self.now)
         };
         let candidates: Vec<usize> = candidates.iter().filter(usable).copied().collect();
         if let Some(at) = self.trial(&candidates) {
-            return Some(self.picked(at, false));
+            return PickOutcome::Picked(self.picked(at, false));
         }
         if let Some(at) = self.cheapest(&candidates, fingerprint) {
-            return Some(self.picked(at, false));
+            return match self.takes(at, priority, fingerprint) {
+                true => PickOutcome::Picked(self.picked(at, false)),
+                false => PickOutcome::Full,
+            };
         }
         if let Some(at) = self.cold(&candidates, fingerprint) {
-            return Some(self.picked(at, true));
+            return PickOutcome::Picked(self.picked(at, true));
         }
         // Every warm upstream is suspected: one of them may live all the same.
         let warm = candidates.iter().copied().filter(|at| !self.view(*at).is_cold(self.now));
-        let at = warm.max_by_key(|at| rendezvous_score(fingerprint, self.view(*at).tag))?;
-        Some(PickedUpstream { stranded: true, ..self.picked(at, false) })
+        match warm.max_by_key(|at| rendezvous_score(fingerprint, self.view(*at).tag)) {
+            Some(at) => {
+                PickOutcome::Picked(PickedUpstream { stranded: true, ..self.picked(at, false) })
+            }
+            None => PickOutcome::Nothing,
+        }
+    }
+
+    /// Tells whether the best upstream still takes a flow of `priority`.
+    ///
+    /// Between the two bounds flows are taken by lot, fewer the more there is to do: hosts hear of
+    /// each other's work a moment late, and would else all take and all refuse together.
+    fn takes(&self, at: usize, priority: u32, fingerprint: u64) -> bool {
+        let load = u64::from(self.track(at).work()) * LOAD_UNIT / u64::from(self.view(at).slots);
+        let urgent = u64::from(LEAST_PRIORITY - priority.min(LEAST_PRIORITY)) * PRIORITY_LOAD;
+        let (take, refuse) = (TAKE_LOAD + urgent, REFUSE_LOAD + urgent);
+        let lot = (fingerprint >> 32) % (refuse - take);
+        load < take || (load < refuse && load + lot < refuse)
     }
 
     fn view(&self, at: usize) -> &UpstreamView {
--- a/crates/mustardgrade-core/src/cookie/router.rs
+++ b/crates/mustardgrade-core/src/cookie/router.rs
@@ -9,7 +9,7 @@
 use super::counters::{CookieCounters, DiscardCause, ResetCause};
 use super::load::{LoadEntry, LoadReport, MOST_ENTRIES, PeerLoads};
 use super::memo::{FlowMemo, FlowStage, MemoTable};
-use super::picker::UpstreamPicker;
+use super::picker::{PickOutcome, UpstreamPicker};
 use super::snapshot::{CookieMatch, CookieRoute, CookieSnapshot};
 use super::token::FlowCookie;
 use super::track::{TrackOptions, UpstreamTrack};
@@ -37,6 +37,12 @@
 /// Share of the slots in use from which on hosts tell each other their load.
 const PRESSED_USE: f64 = 1.1;
 
+/// Use of the slots that no noise explains, as after a power loss.
+const RUSH_USE: f64 = 2.0;
+
+/// Weight of the newest look at the pressure in a rush.
+const RUSH_GAIN: f64 = 0.6;
+
 /// Weight of the newest look at the pressure; one host's share of the work is a noisy sample.
 const PRESSURE_GAIN: f64 = 0.1;
 
@@ -238,6 +244,9 @@
     #[must_use]
     pub fn load_report(&mut self, now: Duration) -> LoadReport {
         self.follow_pressure(now);
+        for track in &mut self.tracks {
+            track.told = track.work();
+        }
         let telling = self.tracks.iter().filter(|track| {
             track.work() > 0
                 || track.unanswered > 0
@@ -267,7 +276,8 @@
         let services = self.snapshot.by_service.values();
         let most =
             services.map(|positions| self.use_of(positions, now) * hosts).fold(0.0, f64::max);
-        self.pressure += (most - self.pressure) * PRESSURE_GAIN;
+        let gain = if most >= RUSH_USE { RUSH_GAIN } else { PRESSURE_GAIN };
+        self.pressure += (most - self.pressure) * gain;
     }
 
     /// Returns this host's work in hand at a service's upstreams in this data centre, by slot.
@@ -389,12 +399,17 @@
         };
         let service = UpstreamPicker::service(route, fingerprint);
         let avoid = first.map(|(at, _)| at);
-        let picked = service.and_then(|service| picker.pick(service, fingerprint, avoid));
-        let Some(picked) = picked else {
-            return match first {
-                Some((at, _)) => self.open_at(snapshot, at, segment, now),
-                None => CookieVerdict::Reset(ResetCause::NoUpstream),
-            };
+        let priority = route.plan.priority;
+        let outcome = service.map_or(PickOutcome::Nothing, |service| {
+            picker.pick(service, fingerprint, priority, avoid)
+        });
+        let picked = match (outcome, first) {
+            (PickOutcome::Picked(picked), _) => picked,
+            (PickOutcome::Full | PickOutcome::Nothing, Some((at, _))) => {
+                return self.open_at(snapshot, at, segment, now);
+            }
+            (PickOutcome::Full, None) => return CookieVerdict::Reset(ResetCause::NoRoom),
+            (PickOutcome::Nothing, None) => return CookieVerdict::Reset(ResetCause::NoUpstream),
         };
         let key = segment.key;
         let cookie = snapshot.upstreams[picked.at].cookie;
--- a/crates/mustardgrade-core/src/cookie/tests/world.rs
+++ b/crates/mustardgrade-core/src/cookie/tests/world.rs
@@ -182,3 +182,14 @@
         verdict => panic!("the packet goes nowhere: {verdict:?}"),
     }
 }
+
+/// Opens a flow and closes it again, so that it leaves no work; returns its upstream.
+pub(super) fn open_and_close(router: &mut CookieRouter, key: FlowKey, now: Duration) -> u64 {
+    let tag = target(router, &syn(key, 0), now);
+    let found = router.snapshot().upstreams.iter().find(|view| view.tag == tag);
+    let cookie = found.map_or(FlowCookie::NONE, |view| view.cookie);
+    let mut packet = data(key, cookie, 101, 1, 0);
+    packet.segment.flags.fin = true;
+    router.route(&packet, now);
+    tag
+}
--- a/crates/mustardgrade-core/src/cookie/track.rs
+++ b/crates/mustardgrade-core/src/cookie/track.rs
@@ -61,6 +61,8 @@
     pub open: u32,
     /// Requests that the upstream has in hand.
     pub busy: u32,
+    /// Work in hand when it was last told to the other hosts.
+    pub told: u32,
     /// Last sign of life.
     pub alive: Duration,
     /// Flows without an answer since the last sign of life.
@@ -85,6 +87,7 @@
             opening_since: Duration::ZERO,
             open: 0,
             busy: 0,
+            told: 0,
             alive: Duration::ZERO,
             unanswered: 0,
             unanswered_since: Duration::ZERO,
@@ -149,10 +152,12 @@
         now.saturating_sub(self.tried.max(self.unanswered_since)) >= interval
     }
 
-    /// Returns the track with what the other hosts have inferred.
+    /// Returns the track with what the other hosts have inferred; what this host has added since it
+    /// last told them, each of them is taken to have added as well.
     #[must_use]
     pub fn with_peers(mut self, peers: PeerLoad) -> Self {
-        self.busy += peers.work;
+        let since = self.work().saturating_sub(self.told);
+        self.busy += peers.work + since * peers.hosts;
         if peers.alive > self.alive {
             self.alive = peers.alive;
             if peers.alive >= self.unanswered_since {
--- a/crates/mustardgrade-node/src/fleet/lines.rs
+++ b/crates/mustardgrade-node/src/fleet/lines.rs
@@ -39,9 +39,10 @@
         let budget = match event {
             FlowEvent::Opened { .. } => &mut self.opened,
             FlowEvent::Redirected { .. } => &mut self.redirected,
-            FlowEvent::Reset { cause: ResetCause::NoUpstream | ResetCause::NoRoute, .. } => {
-                &mut self.refused
-            }
+            FlowEvent::Reset {
+                cause: ResetCause::NoUpstream | ResetCause::NoRoom | ResetCause::NoRoute,
+                ..
+            } => &mut self.refused,
             FlowEvent::Reset { .. } => &mut self.reset,
             FlowEvent::Suspected { .. } | FlowEvent::Cleared { .. } => &mut self.believed,
             FlowEvent::Discarded { .. } => &mut self.discarded,
