--- a/crates/mustardgrade-core/src/cookie/mod.rs
+++ b/crates/mustardgrade-core/src/cookie/mod.rs
@@ -4,6 +4,8 @@
 mod counters;
 mod load;
 mod memo;
+mod observe;
+mod packet;
 mod picker;
 mod router;
 mod snapshot;
@@ -13,7 +15,8 @@
 pub use counters::{CookieCounters, DiscardCause, ResetCause};
 pub use load::{LoadEntry, LoadReport, PeerLoad, PeerLoads};
 pub use memo::{FlowMemo, FlowStage, MemoTable};
-pub use router::{CookieOptions, CookiePacket, CookieRouter, CookieVerdict, FlowEvent};
+pub use packet::{CookiePacket, CookieVerdict, FlowEvent};
+pub use router::{CookieOptions, CookieRouter};
 pub use snapshot::{
     CookieMatch, CookieRoute, CookieSnapshot, SnapshotScope, UpstreamView, build_cookie_snapshot,
 };
--- /dev/null
+++ b/crates/mustardgrade-core/src/cookie/observe.rs
@@ -0,0 +1,223 @@
+//! What a cookie router infers of upstreams from the packets that pass.
+
+use std::time::Duration;
+
+use super::load::{LoadEntry, LoadReport, MOST_ENTRIES};
+use super::memo::{FlowMemo, FlowStage};
+use super::packet::{CookiePacket, FlowEvent};
+use super::router::CookieRouter;
+use super::snapshot::CookieMatch;
+use super::token::FlowCookie;
+use super::track::UpstreamTrack;
+use crate::flow::{FlowKey, FlowPacket};
+
+/// Time after which a payload that is sent again counts as unanswered.
+const REPEAT_TIME: Duration = Duration::from_millis(150);
+
+/// Time after which a request counts as answered, whether its caller has said so or not.
+const ANSWER_TIME: Duration = Duration::from_millis(300);
+
+/// Time for which a sign of life is worth telling the other hosts.
+const TELLING_TIME: Duration = Duration::from_secs(1);
+
+/// Time for which a new flow that found nothing but silent upstreams tells the present.
+const STRANDED_TIME: Duration = Duration::from_millis(300);
+
+/// Share of the slots in use from which on hosts tell each other their load.
+const PRESSED_USE: f64 = 1.1;
+
+/// Use of the slots that no noise explains, as after a power loss.
+const RUSH_USE: f64 = 2.0;
+
+/// Weight of the newest look at the pressure in a rush.
+const RUSH_GAIN: f64 = 0.6;
+
+/// Weight of the newest look at the pressure; one host's share of the work is a noisy sample.
+const PRESSURE_GAIN: f64 = 0.1;
+
+impl CookieRouter {
+    /// Takes requests for answered whose callers had nothing to acknowledge: a short answer is
+    /// acknowledged with the next request only.
+    pub(super) fn settle_requests(&mut self, now: Duration) {
+        while let Some((sent, key)) = self.requests.front().copied() {
+            if now.saturating_sub(sent) < ANSWER_TIME {
+                break;
+            }
+            self.requests.pop_front();
+            let Some(memo) = self.memos.get_mut(&key) else { continue };
+            if memo.request != Some(sent) || !memo.counted {
+                continue;
+            }
+            memo.counted = false;
+            if let CookieMatch::Upstream(at) = self.snapshot.find(memo.cookie) {
+                self.tracks[at].busy = self.tracks[at].busy.saturating_sub(1);
+            }
+        }
+    }
+
+    /// Learns from a packet of an open flow.
+    pub(super) fn observe(
+        &mut self,
+        at: usize,
+        packet: &CookiePacket,
+        cookie: FlowCookie,
+        now: Duration,
+    ) {
+        let segment = &packet.segment;
+        let known = self.memos.get(&segment.key).copied();
+        let mut memo = match known {
+            Some(memo) if memo.cookie == cookie => memo,
+            Some(_) | None => {
+                self.forget(&segment.key);
+                let memo = FlowMemo::adopted(cookie, segment, now);
+                if !self.memos.insert(segment.key, memo) {
+                    return;
+                }
+                self.tracks[at].open += 1;
+                memo
+            }
+        };
+        let answered = memo.stage == FlowStage::Opening
+            || segment.acknowledgement.wrapping_sub(memo.acknowledged) as i32 > 0;
+        if memo.stage == FlowStage::Opening {
+            memo.stage = FlowStage::Open;
+            if std::mem::take(&mut memo.counted) {
+                self.tracks[at].opening = self.tracks[at].opening.saturating_sub(1);
+            }
+            self.tracks[at].open += 1;
+        }
+        if answered {
+            memo.acknowledged = segment.acknowledgement;
+            memo.unanswered = false;
+            if memo.request.take().is_some() && std::mem::take(&mut memo.counted) {
+                self.tracks[at].busy = self.tracks[at].busy.saturating_sub(1);
+            }
+            self.note_alive(at, now);
+        }
+        if segment.payload_length > 0 {
+            self.observe_payload(at, &mut memo, segment, now);
+        }
+        memo.seen = now;
+        if let Some(entry) = self.memos.get_mut(&segment.key) {
+            *entry = memo;
+        }
+    }
+
+    pub(super) fn observe_payload(
+        &mut self,
+        at: usize,
+        memo: &mut FlowMemo,
+        segment: &FlowPacket,
+        now: Duration,
+    ) {
+        let end = segment.sequence.wrapping_add(u32::from(segment.payload_length));
+        let fresh = end.wrapping_sub(memo.data_end) as i32 > 0;
+        if fresh {
+            memo.data_end = end;
+            memo.carried_data = true;
+            if memo.request.is_none() {
+                memo.request = Some(now);
+                memo.counted = true;
+                self.tracks[at].busy += 1;
+                self.requests.push_back((now, segment.key));
+            }
+            return;
+        }
+        let Some(sent) = memo.request else { return };
+        if !memo.unanswered && now.saturating_sub(sent) >= REPEAT_TIME {
+            memo.unanswered = true;
+            self.note_unanswered(at, sent, now);
+        }
+    }
+
+    pub(super) fn note_alive(&mut self, at: usize, now: Duration) {
+        let track = &mut self.tracks[at];
+        if track.is_suspected(&self.options.track) {
+            self.events.push(FlowEvent::Cleared { cookie: track.cookie });
+        }
+        track.note_alive(now);
+    }
+
+    pub(super) fn note_unanswered(&mut self, at: usize, sent: Duration, now: Duration) {
+        let track = &mut self.tracks[at];
+        if track.note_unanswered(sent, &self.options.track) {
+            self.counters.suspicions += 1;
+            self.events.push(FlowEvent::Suspected {
+                cookie: track.cookie,
+                unanswered: track.unanswered,
+                silent: now.saturating_sub(track.alive),
+            });
+        }
+    }
+
+    pub(super) fn note_missing(&mut self, key: &FlowKey, sent: Duration, now: Duration) {
+        let Some(memo) = self.memos.get_mut(key) else { return };
+        if memo.stage != FlowStage::Opening || memo.opened != sent {
+            return;
+        }
+        let counted = std::mem::take(&mut memo.counted);
+        if let CookieMatch::Upstream(at) = self.snapshot.find(memo.cookie) {
+            // The opening is no work in hand any more: its caller may be gone.
+            let opening = &mut self.tracks[at].opening;
+            *opening = opening.saturating_sub(u32::from(counted));
+            self.note_unanswered(at, sent, now);
+        }
+    }
+
+    /// Returns what this host has inferred of the upstreams that matter now.
+    #[must_use]
+    pub fn load_report(&mut self, now: Duration) -> LoadReport {
+        self.follow_pressure(now);
+        for track in &mut self.tracks {
+            track.told = track.work();
+        }
+        let telling = self.tracks.iter().filter(|track| {
+            track.work() > 0
+                || track.unanswered > 0
+                || (!track.alive.is_zero() && now.saturating_sub(track.alive) < TELLING_TIME)
+        });
+        let entry = |track: &UpstreamTrack| LoadEntry {
+            cookie: track.cookie,
+            work: saturate(track.work()),
+            unanswered: saturate(track.unanswered),
+            alive_ms: match track.alive.is_zero() {
+                true => u16::MAX,
+                false => saturate(now.saturating_sub(track.alive).as_millis() as u32),
+            },
+        };
+        let entries = telling.take(MOST_ENTRIES).map(entry).collect();
+        LoadReport {
+            pressed: self.pressure >= PRESSED_USE,
+            stranded: self.stranded.is_some_and(|at| now.saturating_sub(at) < STRANDED_TIME),
+            entries,
+        }
+    }
+
+    /// Follows how much of the room in this data centre is in use, as far as this host can tell from
+    /// its own share of the flows.
+    pub(super) fn follow_pressure(&mut self, now: Duration) {
+        let hosts = self.snapshot.local_hosts.max(1) as f64;
+        let services = self.snapshot.by_service.values();
+        let most =
+            services.map(|positions| self.use_of(positions, now) * hosts).fold(0.0, f64::max);
+        let gain = if most >= RUSH_USE { RUSH_GAIN } else { PRESSURE_GAIN };
+        self.pressure += (most - self.pressure) * gain;
+    }
+
+    /// Returns this host's work in hand at a service's upstreams in this data centre, by slot.
+    pub(super) fn use_of(&self, positions: &[usize], now: Duration) -> f64 {
+        let local = positions.iter().copied().filter(|at| {
+            let view = &self.snapshot.upstreams[*at];
+            view.local && view.takes_flows(now) && !view.is_cold(now)
+        });
+        let (work, slots) = local.fold((0, 0), |(work, slots), at| {
+            let own = self.tracks[at].work();
+            (work + own, slots + u32::from(self.snapshot.upstreams[at].slots))
+        });
+        f64::from(work) / f64::from(slots.max(1))
+    }
+}
+
+fn saturate(value: u32) -> u16 {
+    u16::try_from(value).unwrap_or(u16::MAX)
+}
--- /dev/null
+++ b/crates/mustardgrade-core/src/cookie/packet.rs
@@ -0,0 +1,96 @@
+//! What goes into a cookie router and what comes out.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::counters::{DiscardCause, ResetCause};
+use super::token::FlowCookie;
+use crate::flow::{FlowKey, FlowPacket};
+
+/// `CookiePacket` is a caller's segment with the cookie that it carries.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CookiePacket {
+    /// The segment.
+    pub segment: FlowPacket,
+    /// The last cookie that the caller received on the flow.
+    pub cookie: FlowCookie,
+}
+
+/// `CookieVerdict` says what becomes of a packet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CookieVerdict {
+    /// The packet goes to an upstream, with a cookie.
+    Forward {
+        /// Position of the upstream in the snapshot in force.
+        at: usize,
+        /// The cookie to write.
+        cookie: FlowCookie,
+    },
+    /// The caller gets a reset.
+    Reset(ResetCause),
+    /// The packet is dropped and counted.
+    Drop(DiscardCause),
+}
+
+/// `FlowEvent` is a decision worth a line in the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FlowEvent {
+    /// A new flow was given an upstream.
+    Opened {
+        /// The flow.
+        key: FlowKey,
+        /// Its upstream.
+        cookie: FlowCookie,
+        /// Work in hand there, before.
+        work: u32,
+        /// Number of the copy of the opening.
+        copy: u32,
+        /// Whether the upstream is cold.
+        cold: bool,
+        /// Whether it stands in another data centre.
+        spilled: bool,
+    },
+    /// A copy of an opening went to another upstream than the first one.
+    Redirected {
+        /// The flow.
+        key: FlowKey,
+        /// The first upstream.
+        from: FlowCookie,
+        /// The new one.
+        to: FlowCookie,
+    },
+    /// A caller got a reset.
+    Reset {
+        /// The flow.
+        key: FlowKey,
+        /// Its upstream, if any.
+        cookie: FlowCookie,
+        /// Why.
+        cause: ResetCause,
+    },
+    /// An upstream is taken for silent.
+    Suspected {
+        /// The upstream.
+        cookie: FlowCookie,
+        /// Flows without an answer.
+        unanswered: u32,
+        /// Time since its last sign of life.
+        silent: Duration,
+    },
+    /// A suspected upstream has shown a sign of life.
+    Cleared {
+        /// The upstream.
+        cookie: FlowCookie,
+    },
+    /// An open flow's packet was dropped.
+    Discarded {
+        /// The flow.
+        key: FlowKey,
+        /// The packet's cookie.
+        cookie: FlowCookie,
+        /// Why.
+        cause: DiscardCause,
+    },
+}
--- a/crates/mustardgrade-core/src/cookie/router.rs
+++ b/crates/mustardgrade-core/src/cookie/router.rs
@@ -7,8 +7,9 @@
 use serde::{Deserialize, Serialize};
 
 use super::counters::{CookieCounters, DiscardCause, ResetCause};
-use super::load::{LoadEntry, LoadReport, MOST_ENTRIES, PeerLoads};
+use super::load::PeerLoads;
 use super::memo::{FlowMemo, FlowStage, MemoTable};
+use super::packet::{CookiePacket, CookieVerdict, FlowEvent};
 use super::picker::{PickOutcome, UpstreamPicker};
 use super::snapshot::{CookieMatch, CookieRoute, CookieSnapshot};
 use super::token::FlowCookie;
@@ -22,43 +23,9 @@
 /// Pause of the whole thread after which nothing is concluded from missing answers.
 const STALL_TIME: Duration = Duration::from_millis(250);
 
-/// Time after which a payload that is sent again counts as unanswered.
-const REPEAT_TIME: Duration = Duration::from_millis(150);
-
-/// Time after which a request counts as answered, whether its caller has said so or not.
-const ANSWER_TIME: Duration = Duration::from_millis(300);
-
-/// Time for which a sign of life is worth telling the other hosts.
-const TELLING_TIME: Duration = Duration::from_secs(1);
-
-/// Time for which a new flow that found nothing but silent upstreams tells the present.
-const STRANDED_TIME: Duration = Duration::from_millis(300);
-
-/// Share of the slots in use from which on hosts tell each other their load.
-const PRESSED_USE: f64 = 1.1;
-
-/// Use of the slots that no noise explains, as after a power loss.
-const RUSH_USE: f64 = 2.0;
-
-/// Weight of the newest look at the pressure in a rush.
-const RUSH_GAIN: f64 = 0.6;
-
-/// Weight of the newest look at the pressure; one host's share of the work is a noisy sample.
-const PRESSURE_GAIN: f64 = 0.1;
-
 /// Idle time of flows while no manifest states one.
 const DEFAULT_IDLE: Duration = Duration::from_secs(60);
 
-/// `CookiePacket` is a caller's segment with the cookie that it carries.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct CookiePacket {
-    /// The segment.
-    pub segment: FlowPacket,
-    /// The last cookie that the caller received on the flow.
-    pub cookie: FlowCookie,
-}
-
 /// `CookieOptions` are the settings of a [`CookieRouter`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -75,99 +42,22 @@
     }
 }
 
-/// `CookieVerdict` says what becomes of a packet.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum CookieVerdict {
-    /// The packet goes to an upstream, with a cookie.
-    Forward {
-        /// Position of the upstream in the snapshot in force.
-        at: usize,
-        /// The cookie to write.
-        cookie: FlowCookie,
-    },
-    /// The caller gets a reset.
-    Reset(ResetCause),
-    /// The packet is dropped and counted.
-    Drop(DiscardCause),
-}
-
-/// `FlowEvent` is a decision worth a line in the log.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum FlowEvent {
-    /// A new flow was given an upstream.
-    Opened {
-        /// The flow.
-        key: FlowKey,
-        /// Its upstream.
-        cookie: FlowCookie,
-        /// Work in hand there, before.
-        work: u32,
-        /// Number of the copy of the opening.
-        copy: u32,
-        /// Whether the upstream is cold.
-        cold: bool,
-        /// Whether it stands in another data centre.
-        spilled: bool,
-    },
-    /// A copy of an opening went to another upstream than the first one.
-    Redirected {
-        /// The flow.
-        key: FlowKey,
-        /// The first upstream.
-        from: FlowCookie,
-        /// The new one.
-        to: FlowCookie,
-    },
-    /// A caller got a reset.
-    Reset {
-        /// The flow.
-        key: FlowKey,
-        /// Its upstream, if any.
-        cookie: FlowCookie,
-        /// Why.
-        cause: ResetCause,
-    },
-    /// An upstream is taken for silent.
-    Suspected {
-        /// The upstream.
-        cookie: FlowCookie,
-        /// Flows without an answer.
-        unanswered: u32,
-        /// Time since its last sign of life.
-        silent: Duration,
-    },
-    /// A suspected upstream has shown a sign of life.
-    Cleared {
-        /// The upstream.
-        cookie: FlowCookie,
-    },
-    /// An open flow's packet was dropped.
-    Discarded {
-        /// The flow.
-        key: FlowKey,
-        /// The packet's cookie.
-        cookie: FlowCookie,
-        /// Why.
-        cause: DiscardCause,
-    },
-}
-
 /// `CookieRouter` decides on each packet of a caller.
 #[derive(Debug)]
 pub struct CookieRouter {
-    options: CookieOptions,
-    snapshot: Arc<CookieSnapshot>,
-    tracks: Vec<UpstreamTrack>,
-    peers: Arc<PeerLoads>,
-    memos: MemoTable,
-    pending: VecDeque<(Duration, FlowKey)>,
-    requests: VecDeque<(Duration, FlowKey)>,
-    counters: CookieCounters,
-    events: Vec<FlowEvent>,
-    swept: Duration,
-    expired: Duration,
-    pressure: f64,
-    stranded: Option<Duration>,
+    pub(super) options: CookieOptions,
+    pub(super) snapshot: Arc<CookieSnapshot>,
+    pub(super) tracks: Vec<UpstreamTrack>,
+    pub(super) peers: Arc<PeerLoads>,
+    pub(super) memos: MemoTable,
+    pub(super) pending: VecDeque<(Duration, FlowKey)>,
+    pub(super) requests: VecDeque<(Duration, FlowKey)>,
+    pub(super) counters: CookieCounters,
+    pub(super) events: Vec<FlowEvent>,
+    pub(super) swept: Duration,
+    pub(super) expired: Duration,
+    pub(super) pressure: f64,
+    pub(super) stranded: Option<Duration>,
 }
 
 impl CookieRouter {
@@ -240,59 +130,6 @@
         self.peers = peers;
     }
 
-    /// Returns what this host has inferred of the upstreams that matter now.
-    #[must_use]
-    pub fn load_report(&mut self, now: Duration) -> LoadReport {
-        self.follow_pressure(now);
-        for track in &mut self.tracks {
-            track.told = track.work();
-        }
-        let telling = self.tracks.iter().filter(|track| {
-            track.work() > 0
-                || track.unanswered > 0
-                || (!track.alive.is_zero() && now.saturating_sub(track.alive) < TELLING_TIME)
-        });
-        let entry = |track: &UpstreamTrack| LoadEntry {
-            cookie: track.cookie,
-            work: saturate(track.work()),
-            unanswered: saturate(track.unanswered),
-            alive_ms: match track.alive.is_zero() {
-                true => u16::MAX,
-                false => saturate(now.saturating_sub(track.alive).as_millis() as u32),
-            },
-        };
-        let entries = telling.take(MOST_ENTRIES).map(entry).collect();
-        LoadReport {
-            pressed: self.pressure >= PRESSED_USE,
-            stranded: self.stranded.is_some_and(|at| now.saturating_sub(at) < STRANDED_TIME),
-            entries,
-        }
-    }
-
-    /// Follows how much of the room in this data centre is in use, as far as this host can tell from
-    /// its own share of the flows.
-    fn follow_pressure(&mut self, now: Duration) {
-        let hosts = self.snapshot.local_hosts.max(1) as f64;
-        let services = self.snapshot.by_service.values();
-        let most =
-            services.map(|positions| self.use_of(positions, now) * hosts).fold(0.0, f64::max);
-        let gain = if most >= RUSH_USE { RUSH_GAIN } else { PRESSURE_GAIN };
-        self.pressure += (most - self.pressure) * gain;
-    }
-
-    /// Returns this host's work in hand at a service's upstreams in this data centre, by slot.
-    fn use_of(&self, positions: &[usize], now: Duration) -> f64 {
-        let local = positions.iter().copied().filter(|at| {
-            let view = &self.snapshot.upstreams[*at];
-            view.local && view.takes_flows(now) && !view.is_cold(now)
-        });
-        let (work, slots) = local.fold((0, 0), |(work, slots), at| {
-            let own = self.tracks[at].work();
-            (work + own, slots + u32::from(self.snapshot.upstreams[at].slots))
-        });
-        f64::from(work) / f64::from(slots.max(1))
-    }
-
     /// Decides on a packet.
     pub fn route(&mut self, packet: &CookiePacket, now: Duration) -> CookieVerdict {
         let snapshot = Arc::clone(&self.snapshot);
@@ -330,25 +167,6 @@
         }
     }
 
-    /// Takes requests for answered whose callers had nothing to acknowledge: a short answer is
-    /// acknowledged with the next request only.
-    fn settle_requests(&mut self, now: Duration) {
-        while let Some((sent, key)) = self.requests.front().copied() {
-            if now.saturating_sub(sent) < ANSWER_TIME {
-                break;
-            }
-            self.requests.pop_front();
-            let Some(memo) = self.memos.get_mut(&key) else { continue };
-            if memo.request != Some(sent) || !memo.counted {
-                continue;
-            }
-            memo.counted = false;
-            if let CookieMatch::Upstream(at) = self.snapshot.find(memo.cookie) {
-                self.tracks[at].busy = self.tracks[at].busy.saturating_sub(1);
-            }
-        }
-    }
-
     fn count(&mut self, verdict: &CookieVerdict, packet: &CookiePacket) {
         match verdict {
             CookieVerdict::Forward { .. } => self.counters.forwarded += 1,
@@ -551,110 +369,7 @@
         }
     }
 
-    /// Learns from a packet of an open flow.
-    fn observe(&mut self, at: usize, packet: &CookiePacket, cookie: FlowCookie, now: Duration) {
-        let segment = &packet.segment;
-        let known = self.memos.get(&segment.key).copied();
-        let mut memo = match known {
-            Some(memo) if memo.cookie == cookie => memo,
-            Some(_) | None => {
-                self.forget(&segment.key);
-                let memo = FlowMemo::adopted(cookie, segment, now);
-                if !self.memos.insert(segment.key, memo) {
-                    return;
-                }
-                self.tracks[at].open += 1;
-                memo
-            }
-        };
-        let answered = memo.stage == FlowStage::Opening
-            || segment.acknowledgement.wrapping_sub(memo.acknowledged) as i32 > 0;
-        if memo.stage == FlowStage::Opening {
-            memo.stage = FlowStage::Open;
-            if std::mem::take(&mut memo.counted) {
-                self.tracks[at].opening = self.tracks[at].opening.saturating_sub(1);
-            }
-            self.tracks[at].open += 1;
-        }
-        if answered {
-            memo.acknowledged = segment.acknowledgement;
-            memo.unanswered = false;
-            if memo.request.take().is_some() && std::mem::take(&mut memo.counted) {
-                self.tracks[at].busy = self.tracks[at].busy.saturating_sub(1);
-            }
-            self.note_alive(at, now);
-        }
-        if segment.payload_length > 0 {
-            self.observe_payload(at, &mut memo, segment, now);
-        }
-        memo.seen = now;
-        if let Some(entry) = self.memos.get_mut(&segment.key) {
-            *entry = memo;
-        }
-    }
-
-    fn observe_payload(
-        &mut self,
-        at: usize,
-        memo: &mut FlowMemo,
-        segment: &FlowPacket,
-        now: Duration,
-    ) {
-        let end = segment.sequence.wrapping_add(u32::from(segment.payload_length));
-        let fresh = end.wrapping_sub(memo.data_end) as i32 > 0;
-        if fresh {
-            memo.data_end = end;
-            memo.carried_data = true;
-            if memo.request.is_none() {
-                memo.request = Some(now);
-                memo.counted = true;
-                self.tracks[at].busy += 1;
-                self.requests.push_back((now, segment.key));
-            }
-            return;
-        }
-        let Some(sent) = memo.request else { return };
-        if !memo.unanswered && now.saturating_sub(sent) >= REPEAT_TIME {
-            memo.unanswered = true;
-            self.note_unanswered(at, sent, now);
-        }
-    }
-
-    fn note_alive(&mut self, at: usize, now: Duration) {
-        let track = &mut self.tracks[at];
-        if track.is_suspected(&self.options.track) {
-            self.events.push(FlowEvent::Cleared { cookie: track.cookie });
-        }
-        track.note_alive(now);
-    }
-
-    fn note_unanswered(&mut self, at: usize, sent: Duration, now: Duration) {
-        let track = &mut self.tracks[at];
-        if track.note_unanswered(sent, &self.options.track) {
-            self.counters.suspicions += 1;
-            self.events.push(FlowEvent::Suspected {
-                cookie: track.cookie,
-                unanswered: track.unanswered,
-                silent: now.saturating_sub(track.alive),
-            });
-        }
-    }
-
-    fn note_missing(&mut self, key: &FlowKey, sent: Duration, now: Duration) {
-        let Some(memo) = self.memos.get_mut(key) else { return };
-        if memo.stage != FlowStage::Opening || memo.opened != sent {
-            return;
-        }
-        let counted = std::mem::take(&mut memo.counted);
-        if let CookieMatch::Upstream(at) = self.snapshot.find(memo.cookie) {
-            // The opening is no work in hand any more: its caller may be gone.
-            let opening = &mut self.tracks[at].opening;
-            *opening = opening.saturating_sub(u32::from(counted));
-            self.note_unanswered(at, sent, now);
-        }
-    }
-
-    fn forget(&mut self, key: &FlowKey) -> Option<FlowMemo> {
+    pub(super) fn forget(&mut self, key: &FlowKey) -> Option<FlowMemo> {
         let memo = self.memos.remove(key)?;
         release(&self.snapshot, &mut self.tracks, &memo);
         Some(memo)
@@ -684,7 +399,3 @@
         }
     }
 }
-
-fn saturate(value: u32) -> u16 {
-    u16::try_from(value).unwrap_or(u16::MAX)
-}
--- a/crates/mustardgrade-core/src/cookie/tests/placing.rs
+++ b/crates/mustardgrade-core/src/cookie/tests/placing.rs
@@ -6,7 +6,7 @@
 use super::world::{
     ARCHIVE, DESK, World, cookie, data, key, ms, open_and_close, route, syn, target, upstream,
 };
-use crate::cookie::{CookieVerdict, FlowCookie, LoadEntry, LoadReport, PeerLoads, ResetCause};
+use crate::cookie::{CookieVerdict, LoadEntry, LoadReport, PeerLoads, ResetCause};
 use crate::identity::{DataCentreId, ServiceId};
 use crate::registry::{RepeatPolicy, ReportedState, RouteBackend, StateKey, StateValue};
 
@@ -165,5 +165,4 @@
     let mut router = world.router();
     assert_eq!(target(&mut router, &syn(key(1, DESK), 0), ms(1_100)), 2);
     assert_eq!(target(&mut router, &syn(key(2, DESK), 0), ms(3_600)), 1);
-    assert_eq!(FlowCookie::NONE, FlowCookie(0));
 }
--- a/crates/mustardgrade-core/src/cookie/tests/rush.rs
+++ b/crates/mustardgrade-core/src/cookie/tests/rush.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::world::{DESK, World, cookie, data, key, ms, syn, upstream};
+use super::world::{DESK, World, cookie, data, key, syn, upstream};
 use crate::cookie::{CookieRouter, CookieVerdict, PeerLoads, ResetCause};
 use crate::identity::rendezvous_score;
 
@@ -183,7 +183,6 @@
     assert_eq!((router.shed, router.refused), (0, 0), "{router:?} against {hash:?}");
     assert!(router.in_time > hash.in_time, "{router:?} against {hash:?}");
     assert!(router.late + router.shed < (hash.late + hash.shed) / 2, "{router:?}, {hash:?}");
-    assert_eq!(ms(1), Duration::from_millis(1));
 }
 
 #[test]
--- a/crates/mustardgrade-core/src/watch/controller.rs
+++ b/crates/mustardgrade-core/src/watch/controller.rs
@@ -4,53 +4,23 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
 
-use derive_more::Display;
-use rand::seq::IteratorRandom;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use super::duty::is_first;
+use super::events::{StoreCall, StoreFailure, WatchInput, WatchNote, WatchOutput};
+use super::gossip::SpreadReach;
 use super::loads::LoadBoard;
 use super::members::FleetView;
-use super::message::{FleetDigest, FleetMessage, FleetState, MemberHint, StateBatch, millis};
+use super::message::{FleetDigest, FleetMessage, FleetState, StateBatch, millis};
 use super::schedule::WatchSchedule;
-use crate::cookie::{CookieSnapshot, LoadReport, PeerLoads, SnapshotScope, build_cookie_snapshot};
+use crate::cookie::{CookieSnapshot, SnapshotScope, build_cookie_snapshot};
 use crate::identity::{DataCentreId, ServiceId};
 use crate::registry::{ApplyOutcome, Manifest, StateBook, StateKey, StateValue};
 
 /// Time between two digests of a host at rest.
 const DIGEST_INTERVAL: Duration = Duration::from_millis(400);
 
-/// Time between two introductions of a host that knows nothing yet.
-const INTRODUCE_INTERVAL: Duration = Duration::from_millis(100);
-
-/// Time before a takeover at which a host asks others whether it has only missed a confirmation.
-const PULL_LEAD: Duration = Duration::from_millis(350);
-
-/// Hosts that are asked so.
-const PULLS: usize = 3;
-
-/// Time between two introductions to the configured peers of a host that hears nobody.
-const SEEK_INTERVAL: Duration = Duration::from_millis(1_000);
-
-/// Silence of every host of every other data centre that stands for a cut; digests come from each
-/// data centre several times in it.
-const CUT_SILENCE: Duration = Duration::from_millis(700);
-
-/// Time after which an isolated host tries again whether it can serve.
-const ISOLATION_TIME: Duration = Duration::from_secs(10);
-
-/// Hosts named in a digest; digests stay below 400 bytes.
-const HINTS: usize = 6;
-
-/// Hosts that a change or a confirmation is sent to at once; gossip does the rest.
-const FANOUT: usize = 24;
-
-/// Hosts that a change is passed on to in a data centre of more than [`FANOUT`] hosts.
-const RUMOUR_FANOUT: usize = 3;
-
-/// Hosts of each other data centre that a change is sent to at once.
-const RELAYS: usize = 1;
-
 /// Silence of the controller after which it trusts no earlier confirmation.
 const STALL_TIME: Duration = Duration::from_millis(1_000);
 
@@ -66,166 +36,6 @@
 /// Time for which the largest number of hosts seen is kept for budgets.
 const COUNT_MEMORY: Duration = Duration::from_secs(60);
 
-/// `StoreCall` is a call to the store.
-#[derive(Debug, Display, Clone, Copy, PartialEq, Eq)]
-pub enum StoreCall {
-    /// Reads everything.
-    #[display("read, stale={stale}")]
-    ReadAll {
-        /// An answer that is seconds old will do.
-        stale: bool,
-    },
-    /// Waits for changes.
-    #[display("watch after {after}")]
-    Watch {
-        /// Revision after which changes count.
-        after: u64,
-        /// Time to wait for one.
-        wait: Duration,
-    },
-}
-
-/// `StoreFailure` says why a call to the store brought nothing.
-#[derive(Debug, Display, Clone, PartialEq, Eq)]
-pub enum StoreFailure {
-    /// The store does not hold the history after the watch's revision any more.
-    #[display("history is gone")]
-    HistoryGone,
-    /// The call failed or was refused.
-    #[display("{_0}")]
-    Failed(String),
-}
-
-/// `WatchInput` is what happens to a host.
-#[derive(Debug, Clone, PartialEq)]
-pub enum WatchInput {
-    /// Time has passed.
-    Tick,
-    /// A datagram of another host, found authentic.
-    Message(FleetMessage),
-    /// Another host's answer to a request for state.
-    State {
-        /// The host.
-        from: Ipv4Addr,
-        /// Its state; none if it did not answer.
-        batch: Option<StateBatch>,
-    },
-    /// The store's answer to the call in progress.
-    Store(std::result::Result<StateBatch, StoreFailure>),
-    /// What the host's traffic thread has inferred of upstreams.
-    Load(LoadReport),
-    /// The configured peers have changed.
-    Seeds(Vec<Ipv4Addr>),
-    /// The host shall stop.
-    Leave,
-}
-
-/// `WatchOutput` is what a host does.
-#[derive(Debug, Clone, PartialEq)]
-pub enum WatchOutput {
-    /// Sends a datagram to another host.
-    Send {
-        /// The host.
-        to: Ipv4Addr,
-        /// The message.
-        message: FleetMessage,
-    },
-    /// Asks another host for its state after a revision.
-    Ask {
-        /// The host.
-        to: Ipv4Addr,
-        /// The revision.
-        after: u64,
-    },
-    /// Calls the store; any call in progress is given up.
-    Call(StoreCall),
-    /// What traffic threads need to know has changed.
-    Install,
-    /// What the other hosts have inferred of upstreams has changed.
-    Loads(PeerLoads),
-    /// Something worth a line in the log has happened.
-    Note(WatchNote),
-}
-
-/// `WatchNote` is a change of what a host believes.
-#[derive(Debug, Display, Clone, PartialEq, Eq)]
-pub enum WatchNote {
-    /// A manifest is in force.
-    #[display("manifest in force version={version} revision={revision}")]
-    Manifest {
-        /// Its version.
-        version: u64,
-        /// Its revision.
-        revision: u64,
-    },
-    /// A manifest is refused.
-    #[display("manifest refused: {cause}")]
-    Refused {
-        /// Why.
-        cause: String,
-    },
-    /// An item other than the manifest has changed.
-    #[display("{key} {state} revision={revision}")]
-    Item {
-        /// The item.
-        key: StateKey,
-        /// What has become of it.
-        state: &'static str,
-        /// Its revision.
-        revision: u64,
-    },
-    /// The store answers again.
-    #[display("store regained after {failures} failed calls")]
-    StoreRegained {
-        /// Calls that failed in a row.
-        failures: u32,
-    },
-    /// The store does not answer.
-    #[display("store lost: {cause}")]
-    StoreLost {
-        /// What the call brought.
-        cause: String,
-    },
-    /// The host takes up or gives up the watch.
-    #[display("watching={watching} rank={rank} confirmed_ms={confirmed_ms:?}")]
-    Duty {
-        /// Whether it watches from now on.
-        watching: bool,
-        /// Its place in the order of its data centre.
-        rank: usize,
-        /// Age of the last confirmation in milliseconds.
-        confirmed_ms: Option<u32>,
-    },
-    /// The host leaves or rejoins the rotation of the platform.
-    #[display("isolated={isolated}")]
-    Isolated {
-        /// Whether callers are better served elsewhere.
-        isolated: bool,
-    },
-    /// The host begins or ends to tell others of load and silence.
-    #[display("sharing={sharing} pressed={pressed} suspects={suspects}")]
-    Sharing {
-        /// Whether it tells others.
-        sharing: bool,
-        /// Whether its upstreams have little room left.
-        pressed: bool,
-        /// Whether it suspects an upstream itself.
-        suspects: bool,
-    },
-    /// The host did not run for a while.
-    #[display("stalled for {ms} ms")]
-    Stalled {
-        /// For how long, in milliseconds.
-        ms: u32,
-    },
-    /// Another host was heard for the first time, or again.
-    #[display("host {address} heard")]
-    Joined {
-        /// Its address.
-        address: Ipv4Addr,
-    },
-}
-
 /// `WatchOptions` are the settings of a [`WatchController`].
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WatchOptions {
@@ -264,52 +74,41 @@
     pub calls: u64,
 }
 
-/// `SpreadReach` says how far a change is sent at once.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum SpreadReach {
-    /// To the own data centre and to a relay in each other one.
-    All,
-    /// To the own data centre.
-    DataCentre,
-    /// To a few hosts of a data centre that is too large for the first sender.
-    Few,
-}
-
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct CallInProgress {
-    call: StoreCall,
-    since: Duration,
-    stalled: bool,
+pub(super) struct CallInProgress {
+    pub(super) call: StoreCall,
+    pub(super) since: Duration,
+    pub(super) stalled: bool,
 }
 
 /// `WatchController` decides what a host reads, believes and passes on.
 #[derive(Debug)]
 pub struct WatchController {
-    options: WatchOptions,
-    state: FleetState,
-    book: StateBook,
-    view: FleetView,
-    loads: LoadBoard,
-    sharing: bool,
-    isolated: Option<Duration>,
-    rng: ChaCha8Rng,
-    started: Duration,
-    ticked: Duration,
-    confirmed: Option<Duration>,
-    call: Option<CallInProgress>,
-    next_call: Duration,
-    next_digest: Duration,
-    next_seek: Duration,
-    next_pull: Duration,
-    watching: bool,
-    failures: u32,
-    regained: Option<Duration>,
-    asked: HashMap<Ipv4Addr, Duration>,
-    boot_read: Duration,
-    scope: SnapshotScope,
-    most_hosts: (usize, Duration),
-    hint_at: usize,
-    calls: u64,
+    pub(super) options: WatchOptions,
+    pub(super) state: FleetState,
+    pub(super) book: StateBook,
+    pub(super) view: FleetView,
+    pub(super) loads: LoadBoard,
+    pub(super) sharing: bool,
+    pub(super) isolated: Option<Duration>,
+    pub(super) rng: ChaCha8Rng,
+    pub(super) started: Duration,
+    pub(super) ticked: Duration,
+    pub(super) confirmed: Option<Duration>,
+    pub(super) call: Option<CallInProgress>,
+    pub(super) next_call: Duration,
+    pub(super) next_digest: Duration,
+    pub(super) next_seek: Duration,
+    pub(super) next_pull: Duration,
+    pub(super) watching: bool,
+    pub(super) failures: u32,
+    pub(super) regained: Option<Duration>,
+    pub(super) asked: HashMap<Ipv4Addr, Duration>,
+    pub(super) boot_read: Duration,
+    pub(super) scope: SnapshotScope,
+    pub(super) most_hosts: (usize, Duration),
+    pub(super) hint_at: usize,
+    pub(super) calls: u64,
 }
 
 impl WatchController {
@@ -442,184 +241,6 @@
         outputs.push(WatchOutput::Note(WatchNote::Stalled { ms: millis(gap) }));
     }
 
-    fn give_up_call(&mut self, now: Duration, outputs: &mut Vec<WatchOutput>) {
-        let Some(call) = self.call else { return };
-        let wait = match call.call {
-            StoreCall::Watch { wait, .. } => wait,
-            StoreCall::ReadAll { .. } => Duration::ZERO,
-        };
-        if now.saturating_sub(call.since) > wait + self.options.schedule.call_patience {
-            let failure = StoreFailure::Failed("no answer in time".to_owned());
-            self.take_store(Err(failure), now, outputs);
-        }
-    }
-
-    /// Introduces the host to its configured peers while it hears nobody.
-    fn seek(&mut self, now: Duration, outputs: &mut Vec<WatchOutput>) {
-        let alone = self.view.live(now).next().is_none();
-        let starting = self.state == FleetState::Starting;
-        if now < self.next_seek || !(alone || starting) {
-            return;
-        }
-        let pause = if starting { INTRODUCE_INTERVAL } else { SEEK_INTERVAL };
-        self.next_seek = now + pause;
-        let mut digest = self.digest(now);
-        digest.introduce = true;
-        let me = self.options.address;
-        for to in self.options.seeds.iter().copied().filter(|seed| *seed != me) {
-            outputs.push(WatchOutput::Send { to, message: FleetMessage::Digest(digest.clone()) });
-        }
-    }
-
-    /// Asks some hosts for a digest before the store is called in the watchers' place: a call to the
-    /// store is dear, and a digest that was lost or is slow to spread is no reason for one.
-    fn pull(&mut self, now: Duration, outputs: &mut Vec<WatchOutput>) {
-        let age = now.saturating_sub(self.confirmed.unwrap_or(self.started));
-        let rank = self.view.rank(&self.me(), now);
-        let due = self.options.schedule.takeover_age(rank).saturating_sub(PULL_LEAD);
-        if self.state != FleetState::Ready || rank == 0 || age < due || now < self.next_pull {
-            return;
-        }
-        self.next_pull = now + PULL_LEAD;
-        let mut digest = self.digest(now);
-        digest.introduce = true;
-        let live = self.view.live(now).map(|member| member.address);
-        for to in live.sample(&mut self.rng, PULLS) {
-            outputs.push(WatchOutput::Send { to, message: FleetMessage::Digest(digest.clone()) });
-        }
-    }
-
-    /// Tells the other hosts what this one has inferred of upstreams, while that matters.
-    fn report_load(&mut self, report: LoadReport, now: Duration, outputs: &mut Vec<WatchOutput>) {
-        self.follow_isolation(report.stranded, now, outputs);
-        let (pressed, suspects) = (report.pressed, report.suspects());
-        let asked = self.loads.suspected();
-        let report = match pressed || suspects || self.loads.pressed() {
-            true => report,
-            // What another host takes for silent may answer this one.
-            false => report.only(&asked),
-        };
-        let sharing = pressed || suspects || !report.entries.is_empty();
-        if sharing != self.sharing {
-            self.sharing = sharing;
-            outputs.push(WatchOutput::Note(WatchNote::Sharing { sharing, pressed, suspects }));
-        }
-        if !sharing {
-            return;
-        }
-        let live = self.view.live(now).filter(|member| member.state == FleetState::Ready);
-        let near = self.options.data_centre;
-        let small = self.view.live(now).count() <= FANOUT;
-        let targets: Vec<Ipv4Addr> = live
-            .filter(|member| small || member.data_centre == near)
-            .map(|member| member.address)
-            .sample(&mut self.rng, FANOUT);
-        for to in targets {
-            let message = FleetMessage::Load(self.options.address, report.clone());
-            outputs.push(WatchOutput::Send { to, message });
-        }
-    }
-
-    /// Tells whether callers are better served by another data centre's hosts.
-    #[must_use]
-    pub fn is_isolated(&self) -> bool {
-        self.isolated.is_some()
-    }
-
-    /// Takes the host for isolated while its new flows find nothing but silent upstreams and no host
-    /// of another data centre is heard: the platform then turns to hosts that reach more.
-    fn follow_isolation(&mut self, stranded: bool, now: Duration, outputs: &mut Vec<WatchOutput>) {
-        let near = self.options.data_centre;
-        let mut others = self.view.known().filter(|member| member.data_centre != near).peekable();
-        let cut_off = others.peek().is_some()
-            && others.all(|member| now.saturating_sub(member.heard) >= CUT_SILENCE);
-        let isolated = match self.isolated {
-            Some(since) => cut_off && now.saturating_sub(since) < ISOLATION_TIME,
-            None => cut_off && stranded,
-        };
-        if isolated != self.isolated.is_some() {
-            self.isolated = isolated.then_some(now);
-            outputs.push(WatchOutput::Note(WatchNote::Isolated { isolated }));
-        }
-    }
-
-    fn me(&self) -> MemberHint {
-        MemberHint {
-            address: self.options.address,
-            data_centre: self.options.data_centre,
-            incarnation: self.options.incarnation,
-            strength: self.options.strength,
-            state: self.state,
-            watching: self.watching,
-            heard_ms: 0,
-        }
-    }
-
-    fn digest(&mut self, now: Duration) -> FleetDigest {
-        self.hint_at = self.hint_at.wrapping_add(HINTS);
-        FleetDigest {
-            sender: self.me(),
-            revision: self.book.revision(),
-            confirmed_ms: self.confirmed.map(|at| millis(now.saturating_sub(at))),
-            introduce: false,
-            members: self.view.hints(self.hint_at, HINTS, now),
-        }
-    }
-
-    /// Sends a digest to one host of the own data centre, one of any, and one that has fallen silent:
-    /// the end of a cut shows by an answer.
-    fn gossip(&mut self, now: Duration, outputs: &mut Vec<WatchOutput>) {
-        let message = FleetMessage::Digest(self.digest(now));
-        let near = self.view.peers(self.options.data_centre, now).choose(&mut self.rng);
-        let near = near.map(|member| member.address);
-        let far = self.view.live(now).choose(&mut self.rng).map(|member| member.address);
-        let lost = self.view.known().filter(|member| !member.is_live(now)).choose(&mut self.rng);
-        let lost = lost.map(|member| member.address);
-        for to in [near, far.filter(|far| Some(*far) != near), lost].into_iter().flatten() {
-            outputs.push(WatchOutput::Send { to, message: message.clone() });
-        }
-    }
-
-    /// Sends a digest, with changes if there are any, to many hosts at once.
-    fn spread(
-        &mut self,
-        batch: Option<StateBatch>,
-        reach: SpreadReach,
-        now: Duration,
-        outputs: &mut Vec<WatchOutput>,
-    ) {
-        let digest = self.digest(now);
-        let message = match batch {
-            Some(batch) => FleetMessage::Changes(digest, batch),
-            None => FleetMessage::Digest(digest),
-        };
-        let mut targets: Vec<Ipv4Addr> = self
-            .view
-            .peers(self.options.data_centre, now)
-            .map(|member| member.address)
-            .sample(&mut self.rng, FANOUT);
-        if reach == SpreadReach::Few && targets.len() < FANOUT {
-            return;
-        }
-        if reach == SpreadReach::Few {
-            targets.truncate(RUMOUR_FANOUT);
-        }
-        let mut far: HashMap<DataCentreId, Vec<Ipv4Addr>> = HashMap::new();
-        for member in self.view.live(now).filter(|_| reach == SpreadReach::All) {
-            if member.data_centre != self.options.data_centre {
-                far.entry(member.data_centre).or_default().push(member.address);
-            }
-        }
-        let mut far: Vec<_> = far.into_iter().collect();
-        far.sort_unstable();
-        for (_, addresses) in far {
-            targets.extend(addresses.into_iter().sample(&mut self.rng, RELAYS));
-        }
-        for to in targets {
-            outputs.push(WatchOutput::Send { to, message: message.clone() });
-        }
-    }
-
     fn take_message(
         &mut self,
         message: &FleetMessage,
@@ -694,7 +315,7 @@
         }
     }
 
-    fn take_store(
+    pub(super) fn take_store(
         &mut self,
         answer: std::result::Result<StateBatch, StoreFailure>,
         now: Duration,
@@ -726,28 +347,13 @@
         if !stale && !call.stalled {
             self.confirmed = Some(now);
         }
-        let pause = if batch.changes.is_empty() { Duration::ZERO } else { self.gather_pause() };
+        let pause =
+            if batch.changes.is_empty() { Duration::ZERO } else { self.options.schedule.gather };
         self.next_call = now + if stale { Duration::ZERO } else { pause };
         let batch = (changed && batch.after > 0).then_some(batch);
         self.spread(batch, SpreadReach::All, now, outputs);
     }
 
-    fn gather_pause(&self) -> Duration {
-        self.options.schedule.gather
-    }
-
-    fn note_failure(&mut self, cause: String, now: Duration, outputs: &mut Vec<WatchOutput>) {
-        if self.failures == 0 {
-            outputs.push(WatchOutput::Note(WatchNote::StoreLost { cause }));
-        }
-        self.failures += 1;
-        let rank = self.view.rank(&self.me(), now);
-        let covered = self.is_covered(now);
-        let pause = self.options.schedule.retry_pause(self.failures, rank, covered);
-        let jitter = 0.75 + 0.5 * self.rng.random::<f64>();
-        self.next_call = now + pause.mul_f64(jitter);
-    }
-
     /// Adds the removals that a whole read implies.
     fn complete(&self, mut batch: StateBatch) -> StateBatch {
         let lapsed = self.regained.is_some() || self.failures > 0;
@@ -870,65 +476,4 @@
             outputs.push(WatchOutput::Install);
         }
     }
-
-    /// Tells whether the registry is known to be current without this host's own calls.
-    fn is_covered(&self, now: Duration) -> bool {
-        let limit = self.options.schedule.takeover;
-        self.confirmed.is_some_and(|at| now.saturating_sub(at) < limit)
-    }
-
-    /// Calls the store if it is this host's turn.
-    fn plan_call(&mut self, now: Duration, outputs: &mut Vec<WatchOutput>) {
-        if self.call.is_some() || self.state == FleetState::Leaving {
-            return;
-        }
-        if self.book.revision() == 0 {
-            if now >= self.boot_read && now >= self.next_call {
-                self.call(StoreCall::ReadAll { stale: self.failures == 0 }, now, outputs);
-            }
-            return;
-        }
-        let rank = self.view.rank(&self.me(), now);
-        let watching = self.is_on_duty(rank, now);
-        if watching != self.watching {
-            self.watching = watching;
-            let confirmed_ms = self.confirmed.map(|at| millis(now.saturating_sub(at)));
-            outputs.push(WatchOutput::Note(WatchNote::Duty { watching, rank, confirmed_ms }));
-        }
-        if watching && now >= self.next_call {
-            let wait = match self.is_covered(now) {
-                true => self.options.schedule.watch_wait,
-                // Whether anything has changed is asked first, then waited for.
-                false => Duration::from_millis(1),
-            };
-            self.call(StoreCall::Watch { after: self.book.revision(), wait }, now, outputs);
-        }
-    }
-
-    /// Tells whether the host calls the store now.
-    ///
-    /// One host of each data centre does; the others do when nothing confirms the registry in time.
-    fn is_on_duty(&self, rank: usize, now: Duration) -> bool {
-        let age = now.saturating_sub(self.confirmed.unwrap_or(self.started));
-        if age >= self.options.schedule.takeover_age(rank) {
-            return true;
-        }
-        if self.watching {
-            return !self.view.has_watcher(&self.me(), true, now);
-        }
-        let settled = now.saturating_sub(self.started) >= self.options.schedule.settle;
-        let vacant = rank == 0 && settled && !self.view.has_watcher(&self.me(), false, now);
-        vacant || (self.confirmed.is_none() && is_first(&self.options))
-    }
-
-    fn call(&mut self, call: StoreCall, now: Duration, outputs: &mut Vec<WatchOutput>) {
-        self.calls += 1;
-        self.call = Some(CallInProgress { call, since: now, stalled: false });
-        outputs.push(WatchOutput::Call(call));
-    }
-}
-
-/// Tells whether other hosts turn to this one while they start.
-fn is_first(options: &WatchOptions) -> bool {
-    options.seeds.contains(&options.address) || options.seeds.is_empty()
 }
--- /dev/null
+++ b/crates/mustardgrade-core/src/watch/events.rs
@@ -0,0 +1,170 @@
+//! What happens to a host and what it does about it.
+
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use derive_more::Display;
+
+use super::message::{FleetMessage, StateBatch};
+use crate::cookie::{LoadReport, PeerLoads};
+use crate::registry::StateKey;
+
+/// `StoreCall` is a call to the store.
+#[derive(Debug, Display, Clone, Copy, PartialEq, Eq)]
+pub enum StoreCall {
+    /// Reads everything.
+    #[display("read, stale={stale}")]
+    ReadAll {
+        /// An answer that is seconds old will do.
+        stale: bool,
+    },
+    /// Waits for changes.
+    #[display("watch after {after}")]
+    Watch {
+        /// Revision after which changes count.
+        after: u64,
+        /// Time to wait for one.
+        wait: Duration,
+    },
+}
+
+/// `StoreFailure` says why a call to the store brought nothing.
+#[derive(Debug, Display, Clone, PartialEq, Eq)]
+pub enum StoreFailure {
+    /// The store does not hold the history after the watch's revision any more.
+    #[display("history is gone")]
+    HistoryGone,
+    /// The call failed or was refused.
+    #[display("{_0}")]
+    Failed(String),
+}
+
+/// `WatchInput` is what happens to a host.
+#[derive(Debug, Clone, PartialEq)]
+pub enum WatchInput {
+    /// Time has passed.
+    Tick,
+    /// A datagram of another host, found authentic.
+    Message(FleetMessage),
+    /// Another host's answer to a request for state.
+    State {
+        /// The host.
+        from: Ipv4Addr,
+        /// Its state; none if it did not answer.
+        batch: Option<StateBatch>,
+    },
+    /// The store's answer to the call in progress.
+    Store(std::result::Result<StateBatch, StoreFailure>),
+    /// What the host's traffic thread has inferred of upstreams.
+    Load(LoadReport),
+    /// The configured peers have changed.
+    Seeds(Vec<Ipv4Addr>),
+    /// The host shall stop.
+    Leave,
+}
+
+/// `WatchOutput` is what a host does.
+#[derive(Debug, Clone, PartialEq)]
+pub enum WatchOutput {
+    /// Sends a datagram to another host.
+    Send {
+        /// The host.
+        to: Ipv4Addr,
+        /// The message.
+        message: FleetMessage,
+    },
+    /// Asks another host for its state after a revision.
+    Ask {
+        /// The host.
+        to: Ipv4Addr,
+        /// The revision.
+        after: u64,
+    },
+    /// Calls the store; any call in progress is given up.
+    Call(StoreCall),
+    /// What traffic threads need to know has changed.
+    Install,
+    /// What the other hosts have inferred of upstreams has changed.
+    Loads(PeerLoads),
+    /// Something worth a line in the log has happened.
+    Note(WatchNote),
+}
+
+/// `WatchNote` is a change of what a host believes.
+#[derive(Debug, Display, Clone, PartialEq, Eq)]
+pub enum WatchNote {
+    /// A manifest is in force.
+    #[display("manifest in force version={version} revision={revision}")]
+    Manifest {
+        /// Its version.
+        version: u64,
+        /// Its revision.
+        revision: u64,
+    },
+    /// A manifest is refused.
+    #[display("manifest refused: {cause}")]
+    Refused {
+        /// Why.
+        cause: String,
+    },
+    /// An item other than the manifest has changed.
+    #[display("{key} {state} revision={revision}")]
+    Item {
+        /// The item.
+        key: StateKey,
+        /// What has become of it.
+        state: &'static str,
+        /// Its revision.
+        revision: u64,
+    },
+    /// The store answers again.
+    #[display("store regained after {failures} failed calls")]
+    StoreRegained {
+        /// Calls that failed in a row.
+        failures: u32,
+    },
+    /// The store does not answer.
+    #[display("store lost: {cause}")]
+    StoreLost {
+        /// What the call brought.
+        cause: String,
+    },
+    /// The host takes up or gives up the watch.
+    #[display("watching={watching} rank={rank} confirmed_ms={confirmed_ms:?}")]
+    Duty {
+        /// Whether it watches from now on.
+        watching: bool,
+        /// Its place in the order of its data centre.
+        rank: usize,
+        /// Age of the last confirmation in milliseconds.
+        confirmed_ms: Option<u32>,
+    },
+    /// The host leaves or rejoins the rotation of the platform.
+    #[display("isolated={isolated}")]
+    Isolated {
+        /// Whether callers are better served elsewhere.
+        isolated: bool,
+    },
+    /// The host begins or ends to tell others of load and silence.
+    #[display("sharing={sharing} pressed={pressed} suspects={suspects}")]
+    Sharing {
+        /// Whether it tells others.
+        sharing: bool,
+        /// Whether its upstreams have little room left.
+        pressed: bool,
+        /// Whether it suspects an upstream itself.
+        suspects: bool,
+    },
+    /// The host did not run for a while.
+    #[display("stalled for {ms} ms")]
+    Stalled {
+        /// For how long, in milliseconds.
+        ms: u32,
+    },
+    /// Another host was heard for the first time, or again.
+    #[display("host {address} heard")]
+    Joined {
+        /// Its address.
+        address: Ipv4Addr,
+    },
+}
--- a/crates/mustardgrade-core/src/watch/mod.rs
+++ b/crates/mustardgrade-core/src/watch/mod.rs
@@ -6,15 +6,16 @@
 //! grows with its rank, so that every time bound holds whichever hosts are dead or cut off.
 
 mod controller;
+mod duty;
+mod events;
+mod gossip;
 mod loads;
 mod members;
 mod message;
 mod schedule;
 
-pub use controller::{
-    StoreCall, StoreFailure, WatchController, WatchInput, WatchNote, WatchOptions, WatchOutput,
-    WatchStatus,
-};
+pub use controller::{WatchController, WatchOptions, WatchStatus};
+pub use events::{StoreCall, StoreFailure, WatchInput, WatchNote, WatchOutput};
 pub use loads::LoadBoard;
 pub use members::{FleetMember, FleetView};
 pub use message::{FleetDigest, FleetMessage, FleetState, MemberHint, StateBatch};
--- a/crates/mustardgrade-node/src/store/http.rs
+++ b/crates/mustardgrade-node/src/store/http.rs
@@ -23,19 +23,16 @@
     }
 
     /// Creates a request that reads a path.
-    #[must_use]
     pub fn get(&self, path: &str) -> reqwest::RequestBuilder {
         self.http.get(format!("{}{path}", self.url))
     }
 
     /// Creates a request that reads a URL of another server.
-    #[must_use]
     pub fn get_url(&self, url: &str) -> reqwest::RequestBuilder {
         self.http.get(url)
     }
 
     /// Creates a request that writes a path.
-    #[must_use]
     pub fn put(&self, path: &str) -> reqwest::RequestBuilder {
         self.http.put(format!("{}{path}", self.url))
     }
