--- /dev/null
+++ b/crates/mustardgrade-cli/src/commands/manifest.rs
@@ -0,0 +1,40 @@
+//! `mustardgrade manifest`.
+
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use argh::FromArgs;
+use mustardgrade::store::{HttpClient, checked};
+
+use super::{CommandError, Result, block_on};
+
+/// Time after which a host is given up.
+const HOST_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Shows the manifest, evacuations and upstreams in force on a host that places flows by cookie: a
+/// rule a line, with a comment naming who asked for it.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "manifest")]
+pub struct ManifestCommand {
+    /// address and port of the host's pages
+    #[argh(option)]
+    host: SocketAddrV4,
+}
+
+/// Runs the command.
+///
+/// # Errors
+///
+/// Fails if the host does not answer.
+pub fn run_manifest(command: &ManifestCommand) -> Result<u8> {
+    let text = block_on(async {
+        let url = format!("http://{}", command.host);
+        let client = HttpClient::new(&url, HOST_TIMEOUT).map_err(CommandError::failed)?;
+        let request = client.get("/rules").timeout(HOST_TIMEOUT);
+        let response = request.send().await.map_err(CommandError::failed)?;
+        let response = checked(response).map_err(CommandError::failed)?;
+        response.text().await.map_err(CommandError::failed)
+    })?;
+    print!("{text}");
+    Ok(0)
+}
--- a/crates/mustardgrade-cli/src/commands/mod.rs
+++ b/crates/mustardgrade-cli/src/commands/mod.rs
@@ -2,8 +2,10 @@
 
 mod apply;
 mod explain;
+mod manifest;
 mod rules;
 mod status;
+mod trace;
 mod trial;
 
 use std::path::Path;
@@ -13,8 +15,10 @@
 
 pub use apply::{ApplyCommand, run_apply};
 pub use explain::{ExplainCommand, run_explain};
+pub use manifest::{ManifestCommand, run_manifest};
 pub use rules::{CheckCommand, DiffCommand, HistoryCommand, run_check, run_diff, run_history};
 pub use status::{StatusCommand, run_status};
+pub use trace::{TraceCommand, run_trace};
 pub use trial::{TryCommand, run_try};
 
 /// Exit code of a check that found something.
--- a/crates/mustardgrade-cli/src/main.rs
+++ b/crates/mustardgrade-cli/src/main.rs
@@ -6,8 +6,8 @@
 
 use argh::FromArgs;
 use commands::{
-    ApplyCommand, CheckCommand, DiffCommand, ExplainCommand, HistoryCommand, StatusCommand,
-    TryCommand,
+    ApplyCommand, CheckCommand, DiffCommand, ExplainCommand, HistoryCommand, ManifestCommand,
+    StatusCommand, TraceCommand, TryCommand,
 };
 
 /// Operates mustardgrade.
@@ -26,7 +26,9 @@
     Diff(DiffCommand),
     Explain(ExplainCommand),
     History(HistoryCommand),
+    Manifest(ManifestCommand),
     Status(StatusCommand),
+    Trace(TraceCommand),
     Try(TryCommand),
 }
 
@@ -39,7 +41,9 @@
         OperatorCommand::Diff(command) => commands::run_diff(&command),
         OperatorCommand::Explain(command) => commands::run_explain(&command),
         OperatorCommand::History(command) => commands::run_history(&command),
+        OperatorCommand::Manifest(command) => commands::run_manifest(&command),
         OperatorCommand::Status(command) => commands::run_status(&command),
+        OperatorCommand::Trace(command) => commands::run_trace(&command),
         OperatorCommand::Try(command) => commands::run_try(&command),
     };
     match outcome {
--- a/crates/mustardgrade-node/src/fleet/mod.rs
+++ b/crates/mustardgrade-node/src/fleet/mod.rs
@@ -14,3 +14,6 @@
 pub use pages::rule_lines;
 pub use settings::{FLEET_KEYS, FleetSettings};
 pub(crate) use threads::{FleetSwitches, FleetThreads, start_fleet};
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/mustardgrade-node/src/fleet/tests.rs
@@ -0,0 +1,61 @@
+//! Tests of a host's pages.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use expect_test::expect;
+use mustardgrade_core::identity::{DataCentreId, ServiceId};
+use mustardgrade_core::registry::{
+    Manifest, RepeatPolicy, ReportedState, RouteBackend, RoutePlan, StateBook, StateChange,
+    StateKey, StateValue, UpstreamReport,
+};
+
+use super::rule_lines;
+
+#[test]
+fn registry_is_shown_a_rule_a_line_with_who_asked() {
+    let route = RoutePlan {
+        name: "desk".to_owned(),
+        address: "198.18.0.1:443".parse().expect("an address"),
+        backends: vec![RouteBackend { service: ServiceId(0xab), weight: 1 }],
+        repeat: RepeatPolicy::Idempotent,
+        timeout: Duration::from_millis(2_500),
+        objective: Duration::from_millis(250),
+        priority: 2,
+    };
+    let manifest = Manifest {
+        version: 7,
+        routes: vec![route],
+        services: Vec::new(),
+        idle_timeout: Duration::from_secs(15),
+    };
+    let report = UpstreamReport {
+        name: "i-1".to_owned(),
+        tag: 1,
+        incarnation: 1,
+        service: ServiceId(0xab),
+        address: "10.0.0.9:80".parse().expect("an address"),
+        data_centre: DataCentreId::from_name("z"),
+        slots: 4,
+        state: ReportedState::Draining,
+        cold_left: Duration::ZERO,
+    };
+    let values = [
+        (StateKey::Manifest, StateValue::Manifest(Arc::new(manifest))),
+        (StateKey::Evacuation("z".to_owned()), StateValue::Evacuated),
+        (StateKey::Upstream("i-1".to_owned()), StateValue::Upstream(Arc::new(report))),
+        (StateKey::Upstream("i-2".to_owned()), StateValue::Unusable),
+    ];
+    let mut book = StateBook::default();
+    for (revision, (key, value)) in (1..).zip(values) {
+        book.apply(StateChange { key, revision, value, age: Duration::ZERO }, Duration::ZERO);
+    }
+    expect![[r#"
+        route desk 198.18.0.1:443 backends=00000000000000ab*1 repeat=idempotent timeout=2500ms priority=2  # operator, manifest version 7
+        idle-timeout 15000 ms  # operator, manifest version 7
+        evacuation z  # operator, revision 2
+        upstream i-1 at=10.0.0.9:80 slots=4 state=draining  # the upstream itself, revision 3
+        # upstream i-2 cannot be read, revision 4
+    "#]]
+    .assert_eq(&rule_lines(&book));
+}
--- a/crates/mustardgrade-node/src/logging/queue.rs
+++ b/crates/mustardgrade-node/src/logging/queue.rs
@@ -40,6 +40,7 @@
     std::thread::Builder::new().name("log".to_owned()).spawn(move || write_lines(&receiver))?;
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or(default_filter))
         .target(env_logger::Target::Pipe(Box::new(LineQueue(sender))))
+        .format_timestamp_millis()
         .write_style(env_logger::WriteStyle::Never)
         .try_init()
         .map_err(std::io::Error::other)
