--- a/crates/mustardgrade-core/src/cookie/snapshot.rs
+++ b/crates/mustardgrade-core/src/cookie/snapshot.rs
@@ -267,23 +267,19 @@
         };
         upstreams[younger].takes_until = Duration::ZERO;
     }
-    index_former_runs(&mut index, upstreams, book);
+    index_former_runs(&mut index, book);
     index
 }
 
 /// Leads cookies of an upstream's former run to its present one, which ends such flows itself.
-fn index_former_runs(
-    index: &mut HashMap<FlowCookie, usize>,
-    upstreams: &[UpstreamView],
-    book: &StateBook,
-) {
+fn index_former_runs(index: &mut HashMap<FlowCookie, usize>, book: &StateBook) {
     for item in book.items().map(|(_, item)| item) {
         let (StateValue::Upstream(report), Some(before)) = (&item.value, &item.before) else {
             continue;
         };
         let present = FlowCookie::derive(report.tag, report.incarnation);
         let former = FlowCookie::derive(before.tag, before.incarnation);
-        let at = upstreams.iter().position(|view| view.cookie == present);
+        let at = index.get(&present).copied();
         if let Some(at) = at.filter(|_| former != present) {
             index.entry(former).or_insert(at);
         }
--- a/crates/mustardgrade-node/src/fleet/actor.rs
+++ b/crates/mustardgrade-node/src/fleet/actor.rs
@@ -81,9 +81,14 @@
         let now = self.links.clock.now();
         let mut outputs = Vec::new();
         self.controller.handle(input, now, &mut outputs);
-        for output in outputs {
+        // Several changes at once need one snapshot only.
+        let install = outputs.contains(&WatchOutput::Install);
+        for output in outputs.into_iter().filter(|output| *output != WatchOutput::Install) {
             self.carry_out(output, me);
         }
+        if install {
+            self.carry_out(WatchOutput::Install, me);
+        }
         self.publish();
     }
 
