Take removals long after an outage for what they are; put every accepted manifest in force

Cause, found by reading: after the first outage every whole read flagged removals as lapsed, so that an upstream that left in a gap of the history got new flows for 2.2 s more; and a manifest with one route that leads nowhere was refused whole although the store had accepted it. Both tests failed before.

--- a/crates/mustardgrade-core/src/cookie/snapshot.rs
+++ b/crates/mustardgrade-core/src/cookie/snapshot.rs
@@ -162,7 +162,8 @@
         version: manifest.version,
         revision: book.revision(),
         idle_timeout: manifest.idle_timeout,
-        routes: manifest.routes.iter().map(|plan| (plan.address, route(plan, scope))).collect(),
+        // The last of several entries would win: the first route of an address shall.
+        routes: manifest.routes.iter().rev().map(|p| (p.address, route(p, scope))).collect(),
         dropped: scope.dropped.clone(),
         upstreams,
         by_service,
--- a/crates/mustardgrade-core/src/cookie/track.rs
+++ b/crates/mustardgrade-core/src/cookie/track.rs
@@ -113,7 +113,7 @@
             && now.saturating_sub(self.opening_since) > options.opening_doubt
     }
 
-    /// Notes a sign of life: the caller acknowledged bytes that answer a packet sent at `sent`.
+    /// Notes a sign of life: a caller has acknowledged bytes of the upstream.
     pub fn note_alive(&mut self, now: Duration) {
         self.alive = now;
         self.unanswered = 0;
--- a/crates/mustardgrade-core/src/registry/errors.rs
+++ b/crates/mustardgrade-core/src/registry/errors.rs
@@ -7,7 +7,7 @@
 /// `Result` of reading registered state.
 pub type Result<T> = std::result::Result<T, RegistryError>;
 
-/// `RegistryError` says why a manifest is not put in force.
+/// `RegistryError` says which route of a manifest cannot be followed.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum RegistryError {
     /// Two routes have one address.
--- a/crates/mustardgrade-core/src/registry/manifest.rs
+++ b/crates/mustardgrade-core/src/registry/manifest.rs
@@ -81,7 +81,7 @@
 }
 
 impl Manifest {
-    /// Checks what a host relies on.
+    /// Checks whether every route can be followed; of two with one address the first is.
     ///
     /// # Errors
     ///
--- a/crates/mustardgrade-core/src/watch/controller.rs
+++ b/crates/mustardgrade-core/src/watch/controller.rs
@@ -339,7 +339,7 @@
             self.regained = Some(now);
         }
         let batch = match call.call {
-            StoreCall::ReadAll { .. } => self.complete(batch),
+            StoreCall::ReadAll { .. } => self.complete(batch, now),
             StoreCall::Watch { .. } => self.flag_lapsed(batch, now),
         };
         let changed = self.put_in_force(&batch, now, outputs);
@@ -355,8 +355,8 @@
     }
 
     /// Adds the removals that a whole read implies.
-    fn complete(&self, mut batch: StateBatch) -> StateBatch {
-        let lapsed = self.regained.is_some() || self.failures > 0;
+    fn complete(&self, mut batch: StateBatch, now: Duration) -> StateBatch {
+        let lapsed = self.follows_outage(now);
         let missing = self.book.missing_from(&batch.changes, batch.upto, lapsed);
         batch.changes.extend(missing);
         batch
@@ -364,8 +364,7 @@
 
     /// Marks removals that an outage of the store may have caused.
     fn flag_lapsed(&self, mut batch: StateBatch, now: Duration) -> StateBatch {
-        let echo = |at: Duration| now.saturating_sub(at) < OUTAGE_ECHO;
-        if self.regained.is_some_and(echo) {
+        if self.follows_outage(now) {
             for change in &mut batch.changes {
                 if let StateValue::Removed { lapsed } = &mut change.value {
                     *lapsed = true;
@@ -375,6 +374,11 @@
         batch
     }
 
+    /// Tells whether the store came back only just now.
+    fn follows_outage(&self, now: Duration) -> bool {
+        self.regained.is_some_and(|at| now.saturating_sub(at) < OUTAGE_ECHO)
+    }
+
     /// Puts a batch in force; returns whether anything changed.
     fn put_in_force(
         &mut self,
@@ -387,9 +391,9 @@
             if let StateValue::Manifest(manifest) = &change.value
                 && let Err(error) = manifest.check()
             {
+                // The store has accepted it: it is in force, whatever is odd about one of its routes.
                 let cause = error.to_string();
-                outputs.push(WatchOutput::Note(WatchNote::Refused { cause }));
-                continue;
+                outputs.push(WatchOutput::Note(WatchNote::Doubtful { cause }));
             }
             let former = self.book.manifest().cloned();
             if self.book.apply(change.clone(), now) == ApplyOutcome::Known {
--- a/crates/mustardgrade-core/src/watch/events.rs
+++ b/crates/mustardgrade-core/src/watch/events.rs
@@ -101,10 +101,10 @@
         /// Its revision.
         revision: u64,
     },
-    /// A manifest is refused.
-    #[display("manifest refused: {cause}")]
-    Refused {
-        /// Why.
+    /// A route of a manifest cannot be followed.
+    #[display("manifest doubtful: {cause}")]
+    Doubtful {
+        /// Which, and why.
         cause: String,
     },
     /// An item other than the manifest has changed.
--- a/crates/mustardgrade-core/src/watch/tests/state.rs
+++ b/crates/mustardgrade-core/src/watch/tests/state.rs
@@ -101,3 +101,54 @@
     }
     assert!((2..=8).contains(&made), "{made} calls");
 }
+
+#[test]
+fn removals_long_after_an_outage_are_no_effect_of_it() {
+    let mut controller = controller();
+    let upstream = |revision, value| StateChange {
+        key: StateKey::Upstream("i-1".to_owned()),
+        revision,
+        value,
+        age: Duration::ZERO,
+    };
+    feed(&mut controller, WatchInput::Tick, 0);
+    let failure = StoreFailure::Failed("store answered with status 503".to_owned());
+    feed(&mut controller, WatchInput::Store(Err(failure)), 5);
+    feed(&mut controller, WatchInput::Tick, 600);
+    let changes = vec![manifest(3, 8), upstream(9, StateValue::Unusable)];
+    let batch = StateBatch { after: 0, upto: 9, changes };
+    feed(&mut controller, WatchInput::Store(Ok(batch)), 605);
+    for at in (700..6_000).step_by(100) {
+        // Each answer is followed by the next call.
+        feed(&mut controller, WatchInput::Tick, at);
+        let empty = StateBatch { after: 9, upto: 9, changes: Vec::new() };
+        feed(&mut controller, WatchInput::Store(Ok(empty)), at + 4);
+    }
+    feed(&mut controller, WatchInput::Store(Err(StoreFailure::HistoryGone)), 6_000);
+    let batch = StateBatch { after: 0, upto: 12, changes: vec![manifest(3, 8)] };
+    feed(&mut controller, WatchInput::Store(Ok(batch)), 6_010);
+    let item = controller.book().item(&StateKey::Upstream("i-1".to_owned()));
+    let value = item.map(|item| item.value.clone());
+    assert_eq!(value, Some(StateValue::Removed { lapsed: false }));
+}
+
+#[test]
+fn manifest_that_the_store_accepted_is_in_force_although_a_route_leads_nowhere() {
+    let mut controller = controller();
+    feed(&mut controller, WatchInput::Tick, 0);
+    let mut change = manifest(3, 9);
+    let route = crate::registry::RoutePlan {
+        name: "r".to_owned(),
+        address: "198.18.0.1:443".parse().expect("an address"),
+        backends: Vec::new(),
+        repeat: crate::registry::RepeatPolicy::Idempotent,
+        timeout: Duration::ZERO,
+        objective: Duration::ZERO,
+        priority: 0,
+    };
+    let doubtful = Manifest { version: 3, routes: vec![route], ..Manifest::default() };
+    change.value = StateValue::Manifest(Arc::new(doubtful));
+    let batch = StateBatch { after: 0, upto: 9, changes: vec![change] };
+    feed(&mut controller, WatchInput::Store(Ok(batch)), 5);
+    assert_eq!(controller.status(Duration::from_millis(5)).version, 3);
+}
--- a/crates/mustardgrade-node/src/fleet/actor.rs
+++ b/crates/mustardgrade-node/src/fleet/actor.rs
@@ -165,7 +165,7 @@
     fn write(&self, note: &WatchNote) {
         let host = self.links.name.as_str();
         match note {
-            WatchNote::Refused { .. } | WatchNote::StoreLost { .. } => {
+            WatchNote::Doubtful { .. } | WatchNote::StoreLost { .. } => {
                 log::warn!(host; "{note}");
             }
             _ => log::info!(host; "{note}"),
