Write the last lines of the log before the process ends

Cause: the log thread gathers lines for 0.1 s, and the process ended before it wrote the line of the stop (found while tracing a host that a power loss took during its grace time: 2.0 s from SIGTERM to the end).

--- a/crates/mustardgrade-node/src/logging/mod.rs
+++ b/crates/mustardgrade-node/src/logging/mod.rs
@@ -4,7 +4,7 @@
 mod queue;
 
 pub use budget::{LineBudget, LineGrant};
-pub use queue::init_logging;
+pub use queue::{finish_logging, init_logging};
 
 #[cfg(test)]
 mod tests;
