--- a/crates/mustardgrade-core/src/watch/duty.rs
+++ b/crates/mustardgrade-core/src/watch/duty.rs
@@ -89,7 +89,7 @@
             StoreCall::Watch { wait, .. } => wait,
             StoreCall::ReadAll { .. } => Duration::ZERO,
         };
-        if now.saturating_sub(call.since) > wait + self.options.schedule.call_patience {
+        if now.saturating_sub(call.since) > wait + self.options.schedule.patience(self.failures) {
             let failure = StoreFailure::Failed("no answer in time".to_owned());
             self.take_store(Err(failure), now, outputs);
         }
--- a/crates/mustardgrade-core/src/watch/schedule.rs
+++ b/crates/mustardgrade-core/src/watch/schedule.rs
@@ -4,6 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Failed calls after which the patience with a call grows no more.
+const MOST_PATIENCE: u32 = 5;
+
 /// `WatchSchedule` holds the times that decide when a host calls the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -52,6 +55,14 @@
         self.takeover + self.takeover_step * steps
     }
 
+    /// Returns the time after which a silent call is given up, beyond what it waits.
+    ///
+    /// A store that is slow rather than silent answers a later call.
+    #[must_use]
+    pub fn patience(&self, failures: u32) -> Duration {
+        self.call_patience * (failures.min(MOST_PATIENCE) + 1)
+    }
+
     /// Returns the pause after `failures` calls failed in a row at a host of `rank`.
     ///
     /// A host that hears fresh digests from others waits longest: it is only turned away itself.
--- a/crates/mustardgrade-core/src/watch/tests/fleet.rs
+++ b/crates/mustardgrade-core/src/watch/tests/fleet.rs
@@ -23,9 +23,6 @@
 /// One way between two hosts.
 const HOP: Duration = Duration::from_millis(1);
 
-/// Time that the store takes for an answer.
-const STORE_TIME: Duration = Duration::from_millis(4);
-
 /// `StoreMood` is how the store answers a host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum StoreMood {
@@ -38,6 +35,8 @@
 enum Event {
     Tick(usize),
     Input(usize, u64, Box<WatchInput>),
+    /// An answer of the store to the call with a number.
+    Answer(usize, u64, u64, Box<WatchInput>),
     /// A call to the store, by a host's run and the number of the call.
     Call(usize, u64, u64, StoreCall),
     /// A watch that ends without an event.
@@ -71,6 +70,8 @@
     sequence: u64,
     items: BTreeMap<StateKey, StateChange>,
     log: Vec<StateChange>,
+    /// Time that the store takes for an answer.
+    pub(super) store_time: Duration,
     pub(super) history_from: u64,
     revision: u64,
     waiting: Vec<Waiting>,
@@ -104,6 +105,7 @@
             sequence: 0,
             items: BTreeMap::new(),
             log: Vec::new(),
+            store_time: Duration::from_millis(4),
             history_from: 0,
             revision: 1,
             waiting: Vec::new(),
@@ -284,11 +286,8 @@
         call: u64,
         answer: Result<StateBatch, StoreFailure>,
     ) {
-        // An answer to a call that was given up is not read any more.
-        if self.hosts[host].call == call {
-            let input = Box::new(WatchInput::Store(answer));
-            self.push(self.now + STORE_TIME, Event::Input(host, run, input));
-        }
+        let input = Box::new(WatchInput::Store(answer));
+        self.push(self.now + self.store_time, Event::Answer(host, run, call, input));
     }
 
     /// Lets time pass.
@@ -329,6 +328,12 @@
                     self.feed(host, *input);
                 }
             }
+            // An answer to a call that was given up is not read any more.
+            Event::Answer(host, run, call, input) => {
+                if self.hosts[host].call == call {
+                    self.play(Event::Input(host, run, input));
+                }
+            }
             Event::Call(host, run, call, kind) => self.call(host, run, call, kind),
             Event::WatchEnds(host, run, call, after) => {
                 let open = |w: &Waiting| (w.host, w.run, w.call) == (host, run, call);
--- a/crates/mustardgrade-core/src/watch/tests/starts.rs
+++ b/crates/mustardgrade-core/src/watch/tests/starts.rs
@@ -82,3 +82,14 @@
     world.run(secs(2.0));
     assert!(world.in_force(&everyone(&world), 1, since) <= secs(1.0));
 }
+
+#[test]
+fn hosts_start_although_the_store_is_slow() {
+    let mut world = FleetWorld::at_rest(18, 6);
+    everyone(&world).into_iter().for_each(|host| world.kill(host));
+    world.store_time = secs(0.9);
+    world.run(secs(0.5));
+    world.start_all();
+    world.run(secs(8.0));
+    assert!(world.slowest_start().is_some_and(|slowest| slowest <= secs(5.0)));
+}
