--- a/crates/mustardgrade-core/src/cookie/memo.rs
+++ b/crates/mustardgrade-core/src/cookie/memo.rs
@@ -129,21 +129,4 @@
             keep
         });
     }
-
-    /// Returns all memos.
-    pub fn iter(&self) -> impl Iterator<Item = (&FlowKey, &FlowMemo)> {
-        self.memos.iter()
-    }
-
-    /// Returns the number of flows.
-    #[must_use]
-    pub fn len(&self) -> usize {
-        self.memos.len()
-    }
-
-    /// Tells whether no flow is remembered.
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.memos.is_empty()
-    }
 }
--- a/crates/mustardgrade-core/src/cookie/router.rs
+++ b/crates/mustardgrade-core/src/cookie/router.rs
@@ -99,12 +99,6 @@
         &self.tracks
     }
 
-    /// Returns the number of flows that the host remembers.
-    #[must_use]
-    pub fn known_flows(&self) -> usize {
-        self.memos.len()
-    }
-
     /// Tells whether the router waits for the answer to an opening.
     #[must_use]
     pub fn awaits_answers(&self) -> bool {
--- a/crates/mustardgrade-core/src/cookie/snapshot.rs
+++ b/crates/mustardgrade-core/src/cookie/snapshot.rs
@@ -8,7 +8,6 @@
 use crate::identity::{DataCentreId, ServiceId};
 use crate::registry::{
     Manifest, ReportedState, RouteBackend, RoutePlan, StateBook, StateItem, StateKey, StateValue,
-    UpstreamReport,
 };
 
 /// Time for which an upstream that was removed by an outage of the store may come back.
@@ -29,6 +28,8 @@
     pub name: String,
     /// Number by which packets name it.
     pub tag: u64,
+    /// Start of the run; a younger run has a larger one.
+    pub incarnation: u64,
     /// Where it receives packets.
     pub address: SocketAddrV4,
     /// The service that it runs.
@@ -50,6 +51,11 @@
 }
 
 impl UpstreamView {
+    /// Returns what orders upstreams by age, the oldest first.
+    fn age_order(&self) -> (u64, u64) {
+        (self.incarnation, self.tag)
+    }
+
     /// Tells whether the upstream takes new flows, cold or not.
     #[must_use]
     pub fn takes_flows(&self, now: Duration) -> bool {
@@ -151,7 +157,7 @@
         .filter_map(|(_, item)| upstream_view(item, manifest, scope, &evacuated))
         .collect();
     upstreams.sort_by_key(|view| (view.service, view.tag));
-    close_shared_addresses(&mut upstreams, book);
+    close_shared_addresses(&mut upstreams);
     let by_cookie = index_cookies(&mut upstreams, book);
     let mut by_service: HashMap<ServiceId, Vec<usize>> = HashMap::new();
     for (at, view) in upstreams.iter().enumerate() {
@@ -219,6 +225,7 @@
         cookie: FlowCookie::derive(report.tag, report.incarnation),
         name: report.name.clone(),
         tag: report.tag,
+        incarnation: report.incarnation,
         address: report.address,
         service: report.service,
         data_centre: report.data_centre,
@@ -232,13 +239,11 @@
 }
 
 /// Keeps new flows from an upstream whose address a younger one has taken over.
-fn close_shared_addresses(upstreams: &mut [UpstreamView], book: &StateBook) {
+fn close_shared_addresses(upstreams: &mut [UpstreamView]) {
     let mut youngest: HashMap<SocketAddrV4, (u64, u64)> = HashMap::new();
-    let starts = incarnations(book);
     for view in upstreams.iter().filter(|view| view.gone_at.is_none()) {
-        let start = (starts.get(&view.cookie).copied().unwrap_or_default(), view.tag);
-        let known = youngest.entry(view.address).or_insert(start);
-        *known = start.max(*known);
+        let known = youngest.entry(view.address).or_insert(view.age_order());
+        *known = view.age_order().max(*known);
     }
     for view in upstreams.iter_mut() {
         let taken = youngest.get(&view.address).is_some_and(|(_, tag)| *tag != view.tag);
@@ -250,8 +255,6 @@
 
 /// Indexes cookies; of two upstreams with one cookie the older keeps it, the younger gets no flows.
 fn index_cookies(upstreams: &mut [UpstreamView], book: &StateBook) -> HashMap<FlowCookie, usize> {
-    let starts: HashMap<u64, u64> = reports(book).map(|r| (r.tag, r.incarnation)).collect();
-    let start = |tag: u64| (starts.get(&tag).copied().unwrap_or_default(), tag);
     let mut index: HashMap<FlowCookie, usize> = HashMap::new();
     for at in 0..upstreams.len() {
         let cookie = upstreams[at].cookie;
@@ -259,7 +262,7 @@
             index.insert(cookie, at);
             continue;
         };
-        let younger = match start(upstreams[at].tag) < start(upstreams[other].tag) {
+        let younger = match upstreams[at].age_order() < upstreams[other].age_order() {
             true => {
                 index.insert(cookie, at);
                 other
@@ -286,17 +289,3 @@
         }
     }
 }
-
-fn reports(book: &StateBook) -> impl Iterator<Item = &UpstreamReport> {
-    book.items().filter_map(|(_, item)| match &item.value {
-        StateValue::Upstream(report) => Some(&**report),
-        _ => item.before.as_deref(),
-    })
-}
-
-fn incarnations(book: &StateBook) -> HashMap<FlowCookie, u64> {
-    let start = |report: &UpstreamReport| {
-        (FlowCookie::derive(report.tag, report.incarnation), report.incarnation)
-    };
-    reports(book).map(start).collect()
-}
