Place new flows without allocating; histograms of answer times by route

The picker built two vectors for each opening; times of answers were not kept at all. Ruled out: a smaller candidate set, which would change placing; the vectors are now reused instead. Conclusion: placing is unchanged; its memory is constant once tables have their size.

--- a/crates/mustardgrade-core/src/cookie/observe.rs
+++ b/crates/mustardgrade-core/src/cookie/observe.rs
@@ -4,7 +4,7 @@
 
 use super::load::{LoadEntry, LoadReport, MOST_ENTRIES};
 use super::memo::{FlowMemo, FlowStage};
-use super::packet::{CookiePacket, FlowEvent};
+use super::packet::{AnswerStage, CookiePacket, FlowEvent};
 use super::router::CookieRouter;
 use super::snapshot::CookieMatch;
 use super::token::FlowCookie;
@@ -81,6 +81,7 @@
             || segment.acknowledgement.wrapping_sub(memo.acknowledged) as i32 > 0;
         if memo.stage == FlowStage::Opening {
             memo.stage = FlowStage::Open;
+            self.note_answer(segment, AnswerStage::Opening, memo.opened, now);
             if std::mem::take(&mut memo.counted) {
                 self.tracks[at].opening = self.tracks[at].opening.saturating_sub(1);
             }
@@ -89,8 +90,10 @@
         if answered {
             memo.acknowledged = segment.acknowledgement;
             memo.unanswered = false;
-            if memo.request.take().is_some() && std::mem::take(&mut memo.counted) {
-                self.tracks[at].busy = self.tracks[at].busy.saturating_sub(1);
+            if let Some(sent) = memo.request.take() {
+                self.note_answer(segment, AnswerStage::Request, sent, now);
+                let counted = u32::from(std::mem::take(&mut memo.counted));
+                self.tracks[at].busy = self.tracks[at].busy.saturating_sub(counted);
             }
             self.note_alive(at, now);
         }
@@ -130,6 +133,17 @@
         }
     }
 
+    fn note_answer(
+        &mut self,
+        segment: &FlowPacket,
+        stage: AnswerStage,
+        asked: Duration,
+        now: Duration,
+    ) {
+        let took = now.saturating_sub(asked);
+        self.events.push(FlowEvent::Answered { key: segment.key, stage, took });
+    }
+
     pub(super) fn note_alive(&mut self, at: usize, now: Duration) {
         let track = &mut self.tracks[at];
         if track.is_suspected(&self.options.track) {
--- a/crates/mustardgrade-core/src/cookie/packet.rs
+++ b/crates/mustardgrade-core/src/cookie/packet.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
 use super::counters::{DiscardCause, ResetCause};
@@ -34,7 +35,19 @@
     Drop(DiscardCause),
 }
 
-/// `FlowEvent` is a decision worth a line in the log.
+/// `AnswerStage` is what an upstream has answered.
+#[derive(Debug, Display, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum AnswerStage {
+    /// The opening of a flow.
+    #[display("opening")]
+    Opening,
+    /// A request on an open flow.
+    #[display("request")]
+    Request,
+}
+
+/// `FlowEvent` is a decision worth a line in the log, or a time worth a place in a histogram.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FlowEvent {
     /// A new flow was given an upstream.
@@ -84,6 +97,15 @@
         /// The upstream.
         cookie: FlowCookie,
     },
+    /// A caller has acknowledged what its upstream answered.
+    Answered {
+        /// The flow.
+        key: FlowKey,
+        /// What was answered.
+        stage: AnswerStage,
+        /// Time from the packet that asked to the acknowledgement, both seen by this host.
+        took: Duration,
+    },
     /// An open flow's packet was dropped.
     Discarded {
         /// The flow.
--- a/crates/mustardgrade-core/src/cookie/picker.rs
+++ b/crates/mustardgrade-core/src/cookie/picker.rs
@@ -65,12 +65,22 @@
     pub(super) stranded: bool,
 }
 
+/// `PickScratch` is memory that one choice after the other uses, so that none allocates.
+#[derive(Debug, Default)]
+pub(super) struct PickScratch {
+    /// Positions of the upstreams that take new flows.
+    candidates: Vec<usize>,
+    /// The warm, unsuspected ones of them with what all hosts have inferred.
+    sound: Vec<(usize, UpstreamTrack)>,
+}
+
 /// `UpstreamPicker` chooses among the upstreams of a snapshot.
 pub(super) struct UpstreamPicker<'a> {
     pub(super) snapshot: &'a CookieSnapshot,
     pub(super) tracks: &'a mut [UpstreamTrack],
     pub(super) peers: &'a PeerLoads,
     pub(super) options: &'a TrackOptions,
+    pub(super) scratch: &'a mut PickScratch,
     pub(super) now: Duration,
 }
 
@@ -97,23 +107,30 @@
         priority: u32,
         avoid: Option<usize>,
     ) -> PickOutcome {
-        let Some(candidates) = self.snapshot.by_service.get(&service) else {
+        let Some(positions) = self.snapshot.by_service.get(&service) else {
             return PickOutcome::Nothing;
         };
-        let usable = |at: &&usize| {
-            Some(**at) != avoid && self.snapshot.upstreams[**at].takes_flows(self.now)
-        };
-        let candidates: Vec<usize> = candidates.iter().filter(usable).copied().collect();
-        if let Some(at) = self.trial(&candidates) {
+        let mut candidates = std::mem::take(&mut self.scratch.candidates);
+        let usable =
+            |at: &usize| Some(*at) != avoid && self.snapshot.upstreams[*at].takes_flows(self.now);
+        candidates.clear();
+        candidates.extend(positions.iter().copied().filter(usable));
+        let outcome = self.pick_among(&candidates, fingerprint, priority);
+        self.scratch.candidates = candidates;
+        outcome
+    }
+
+    fn pick_among(&mut self, candidates: &[usize], fingerprint: u64, priority: u32) -> PickOutcome {
+        if let Some(at) = self.trial(candidates) {
             return PickOutcome::Picked(self.picked(at, false));
         }
-        if let Some(at) = self.cheapest(&candidates, fingerprint) {
+        if let Some(at) = self.cheapest(candidates, fingerprint) {
             return match self.takes(at, priority, fingerprint) {
                 true => PickOutcome::Picked(self.picked(at, false)),
                 false => PickOutcome::Full,
             };
         }
-        if let Some(at) = self.cold(&candidates, fingerprint) {
+        if let Some(at) = self.cold(candidates, fingerprint) {
             return PickOutcome::Picked(self.picked(at, true));
         }
         // Every warm upstream is suspected: one of them may live all the same.
@@ -169,14 +186,19 @@
     ///
     /// Upstreams of this data centre come first while any of them has room. Those that differ little
     /// are taken by hash: an upstream that has ended draws no work, and must not look best for it.
-    fn cheapest(&self, candidates: &[usize], fingerprint: u64) -> Option<usize> {
-        let sound: Vec<(usize, UpstreamTrack)> = candidates
-            .iter()
-            .map(|at| (*at, self.track(*at)))
-            .filter(|(at, track)| {
-                !self.view(*at).is_cold(self.now) && !track.is_suspected(self.options)
-            })
-            .collect();
+    fn cheapest(&mut self, candidates: &[usize], fingerprint: u64) -> Option<usize> {
+        let mut sound = std::mem::take(&mut self.scratch.sound);
+        let tracked = candidates.iter().map(|at| (*at, self.track(*at)));
+        sound.clear();
+        sound.extend(tracked.filter(|(at, track)| {
+            !self.view(*at).is_cold(self.now) && !track.is_suspected(self.options)
+        }));
+        let choice = self.cheapest_of(&sound, fingerprint);
+        self.scratch.sound = sound;
+        choice
+    }
+
+    fn cheapest_of(&self, sound: &[(usize, UpstreamTrack)], fingerprint: u64) -> Option<usize> {
         let open: u64 = sound.iter().map(|(_, track)| u64::from(track.open)).sum();
         let slots: u64 = sound.iter().map(|(at, _)| u64::from(self.view(*at).slots)).sum();
         let choice = sound.iter().min_by_key(|(at, track)| {
--- a/crates/mustardgrade-core/src/cookie/router.rs
+++ b/crates/mustardgrade-core/src/cookie/router.rs
@@ -10,7 +10,7 @@
 use super::load::PeerLoads;
 use super::memo::{FlowMemo, FlowStage, MemoTable};
 use super::packet::{CookiePacket, CookieVerdict, FlowEvent};
-use super::picker::{PickOutcome, UpstreamPicker};
+use super::picker::{PickOutcome, PickScratch, UpstreamPicker};
 use super::snapshot::{CookieMatch, CookieRoute, CookieSnapshot};
 use super::token::FlowCookie;
 use super::track::{TrackOptions, UpstreamTrack};
@@ -58,6 +58,7 @@
     pub(super) expired: Duration,
     pub(super) pressure: f64,
     pub(super) stranded: Option<Duration>,
+    scratch: PickScratch,
 }
 
 impl CookieRouter {
@@ -78,6 +79,7 @@
             expired: Duration::ZERO,
             pressure: 0.0,
             stranded: None,
+            scratch: PickScratch::default(),
         }
     }
 
@@ -207,6 +209,7 @@
             tracks: &mut self.tracks,
             peers: &self.peers,
             options: &self.options.track,
+            scratch: &mut self.scratch,
             now,
         };
         let service = UpstreamPicker::service(route, fingerprint);
--- a/crates/mustardgrade-core/src/cookie/tests/mod.rs
+++ b/crates/mustardgrade-core/src/cookie/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of routing by cookie.
 
+mod allocation;
 mod hazards;
 mod placing;
 mod rush;
--- a/crates/mustardgrade-node/src/fleet/lane.rs
+++ b/crates/mustardgrade-node/src/fleet/lane.rs
@@ -15,6 +15,7 @@
 
 use super::edges::{PacketEdge, UpstreamTarget};
 use super::lines::FlowLines;
+use super::times::FlowTimes;
 use crate::clock::UnixClock;
 use crate::metrics::HostMetrics;
 
@@ -60,6 +61,7 @@
     metrics: Arc<HostMetrics>,
     clock: UnixClock,
 ) -> std::io::Result<JoinHandle<()>> {
+    let times = FlowTimes::new(metrics.answer_seconds.clone());
     std::thread::Builder::new().name("lane".to_owned()).spawn(move || {
         let mut lane = FleetLane {
             socket,
@@ -73,6 +75,7 @@
             metrics,
             clock,
             lines: FlowLines::new(),
+            times,
             events: Vec::new(),
             output: Vec::with_capacity(MAX_DATAGRAM),
             timeout: Duration::ZERO,
@@ -95,6 +98,7 @@
     metrics: Arc<HostMetrics>,
     clock: UnixClock,
     lines: FlowLines,
+    times: FlowTimes,
     events: Vec<FlowEvent>,
     output: Vec<u8>,
     timeout: Duration,
@@ -187,6 +191,7 @@
     fn finish(&mut self, now: Duration) {
         self.router.take_events(&mut self.events);
         for event in self.events.drain(..) {
+            self.times.observe(&event, &self.installed);
             self.lines.write(&event, &self.installed, now);
         }
         if now.saturating_sub(self.reported) >= REPORT_INTERVAL {
--- a/crates/mustardgrade-node/src/fleet/lines.rs
+++ b/crates/mustardgrade-node/src/fleet/lines.rs
@@ -34,7 +34,8 @@
         }
     }
 
-    /// Writes a line for `event`, unless its kind has had its lines of this second.
+    /// Writes a line for `event`, unless its kind has had its lines of this second; the times of
+    /// answers are no decisions and go to histograms only.
     pub(super) fn write(&mut self, event: &FlowEvent, snapshot: &CookieSnapshot, now: Duration) {
         let budget = match event {
             FlowEvent::Opened { .. } => &mut self.opened,
@@ -46,6 +47,7 @@
             FlowEvent::Reset { .. } => &mut self.reset,
             FlowEvent::Suspected { .. } | FlowEvent::Cleared { .. } => &mut self.believed,
             FlowEvent::Discarded { .. } => &mut self.discarded,
+            FlowEvent::Answered { .. } => return,
         };
         let LineGrant::Write { omitted } = budget.ask(now) else { return };
         let version = snapshot.version;
@@ -75,6 +77,7 @@
                 flow = id(key), key:% = key, cookie:% = cookie, cause:% = cause,
                 version, revision, omitted; "packet dropped"
             ),
+            FlowEvent::Answered { .. } => {}
         }
     }
 }
--- a/crates/mustardgrade-node/src/fleet/mod.rs
+++ b/crates/mustardgrade-node/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 mod settings;
 mod tasks;
 mod threads;
+mod times;
 
 pub use actor::{RegistryActor, RegistryLinks, ReloadFleet};
 pub use edges::{EdgeError, FleetEdges, PacketEdge, StoreEdge, StoreReply, UpstreamTarget};
--- a/crates/mustardgrade-node/src/metrics/mod.rs
+++ b/crates/mustardgrade-node/src/metrics/mod.rs
@@ -3,5 +3,7 @@
 mod registry;
 mod server;
 
-pub use registry::{ByteKind, CounterCell, HostMetrics, RequestLabels, RequestWord, TrafficLabels};
+pub use registry::{
+    AnswerLabels, ByteKind, CounterCell, HostMetrics, RequestLabels, RequestWord, TrafficLabels,
+};
 pub use server::{metrics_page, serve_metrics};
--- a/crates/mustardgrade-node/src/metrics/registry.rs
+++ b/crates/mustardgrade-node/src/metrics/registry.rs
@@ -71,6 +71,15 @@
     pub class: String,
 }
 
+/// `AnswerLabels` are the labels of the times of flows that are placed by cookie.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct AnswerLabels {
+    /// The route, which stands for a customer's class of requests.
+    pub route: String,
+    /// What was answered.
+    pub stage: String,
+}
+
 /// `RequestLabels` are the labels of request metrics.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct RequestLabels {
@@ -115,6 +124,8 @@
     pub store_failures: AtomicU64,
     /// Time from receipt to the final word of requests, by tenant, class and outcome.
     pub request_seconds: Family<RequestLabels, Histogram>,
+    /// Time from openings and requests of flows placed by cookie to the callers' acknowledgements.
+    pub answer_seconds: Family<AnswerLabels, Histogram>,
     /// Sizes of flow packets by tenant and class.
     pub packet_bytes: Family<TrafficLabels, Histogram>,
 }
@@ -143,6 +154,9 @@
             request_seconds: Family::new_with_constructor(|| {
                 Histogram::new(exponential_buckets(0.001, 2.0, 15))
             }),
+            answer_seconds: Family::new_with_constructor(|| {
+                Histogram::new(exponential_buckets(0.001, 2.0, 15))
+            }),
             packet_bytes: Family::new_with_constructor(|| {
                 Histogram::new(exponential_buckets(64.0, 2.0, 6))
             }),
@@ -202,6 +216,11 @@
             "Time from receipt to the final word of requests",
             self.request_seconds.clone(),
         );
+        registry.register(
+            "answer_seconds",
+            "Time from openings and requests to the acknowledgement of the answer",
+            self.answer_seconds.clone(),
+        );
         registry.register("packet_bytes", "Sizes of flow packets", self.packet_bytes.clone());
         registry.register_collector(Box::new(HostCollector(Arc::clone(self))));
         registry
