Tell a data centre that is cut off from upstreams that fall silent together

Ruled out: the silence of other hosts (noticed after 0.7 s as intended); sampling of load reports (each host hears nearly all 36 of its data centre within 350 ms). Change: several upstreams of a data centre that became silent since its last sign of life, over all hosts that share reports, stand for a cut; new flows avoid it after 3, open flows are given up after 6 that are half of all. One answer ends that. Reports name silent upstreams first, and in turn when they do not fit. An acknowledgement that comes with the next request is dated by its request, as the answer may be old.

--- a/crates/mustardgrade-core/src/cookie/counters.rs
+++ b/crates/mustardgrade-core/src/cookie/counters.rs
@@ -70,4 +70,6 @@
     pub dropped: u64,
     /// Times that an upstream was taken for silent.
     pub suspicions: u64,
+    /// Times that another data centre was taken for cut off.
+    pub centres_lost: u64,
 }
--- a/crates/mustardgrade-core/src/cookie/load.rs
+++ b/crates/mustardgrade-core/src/cookie/load.rs
@@ -20,6 +20,8 @@
     pub work: u16,
     /// Flows without an answer since the last sign of life.
     pub unanswered: u16,
+    /// Milliseconds since the first of those flows asked; the largest value stands for more.
+    pub waiting_ms: u16,
     /// Milliseconds since the last sign of life; the largest value stands for none.
     pub alive_ms: u16,
 }
@@ -59,6 +61,8 @@
     pub work: u32,
     /// Flows without an answer.
     pub unanswered: u32,
+    /// When the first of them asked, at the host that began to wait last.
+    pub silent_since: Option<Duration>,
     /// Last sign of life, by the clock of the host that adds up.
     pub alive: Duration,
     /// Hosts that have work at the upstream.
@@ -80,6 +84,10 @@
             load.work += u32::from(entry.work);
             load.hosts += u32::from(entry.work > 0);
             load.unanswered += u32::from(entry.unanswered);
+            if entry.unanswered > 0 && entry.waiting_ms != u16::MAX {
+                let age = Duration::from_millis(u64::from(entry.waiting_ms));
+                load.silent_since = load.silent_since.max(Some(heard.saturating_sub(age)));
+            }
             if entry.alive_ms != u16::MAX {
                 let age = Duration::from_millis(u64::from(entry.alive_ms));
                 load.alive = load.alive.max(heard.saturating_sub(age));
--- a/crates/mustardgrade-core/src/cookie/mod.rs
+++ b/crates/mustardgrade-core/src/cookie/mod.rs
@@ -7,6 +7,7 @@
 mod observe;
 mod packet;
 mod picker;
+mod reach;
 mod router;
 mod snapshot;
 mod token;
--- a/crates/mustardgrade-core/src/cookie/observe.rs
+++ b/crates/mustardgrade-core/src/cookie/observe.rs
@@ -90,12 +90,17 @@
         if answered {
             memo.acknowledged = segment.acknowledgement;
             memo.unanswered = false;
+            let mut life = now;
             if let Some(sent) = memo.request.take() {
+                if segment.payload_length > 0 {
+                    // The answer may have come long before the request that acknowledges it.
+                    life = now.min(sent + ANSWER_TIME);
+                }
                 self.note_answer(segment, AnswerStage::Request, sent, now);
                 let counted = u32::from(std::mem::take(&mut memo.counted));
                 self.tracks[at].busy = self.tracks[at].busy.saturating_sub(counted);
             }
-            self.note_alive(at, now);
+            self.note_alive(at, life);
         }
         if segment.payload_length > 0 {
             self.observe_payload(at, &mut memo, segment, now);
@@ -144,12 +149,13 @@
         self.events.push(FlowEvent::Answered { key: segment.key, stage, took });
     }
 
-    pub(super) fn note_alive(&mut self, at: usize, now: Duration) {
+    pub(super) fn note_alive(&mut self, at: usize, life: Duration) {
         let track = &mut self.tracks[at];
-        if track.is_suspected(&self.options.track) {
+        let suspected = track.is_suspected(&self.options.track);
+        track.note_alive(life);
+        if suspected && !track.is_suspected(&self.options.track) {
             self.events.push(FlowEvent::Cleared { cookie: track.cookie });
         }
-        track.note_alive(now);
     }
 
     pub(super) fn note_unanswered(&mut self, at: usize, sent: Duration, now: Duration) {
@@ -181,25 +187,27 @@
     /// Returns what this host has inferred of the upstreams that matter now.
     #[must_use]
     pub fn load_report(&mut self, now: Duration) -> LoadReport {
+        self.follow_reach(now);
         self.follow_pressure(now);
         for track in &mut self.tracks {
             track.told = track.work();
         }
-        let telling = self.tracks.iter().filter(|track| {
+        let suspects = |track: &&UpstreamTrack| track.silent_since().is_some();
+        let tells = |track: &&UpstreamTrack| {
             track.work() > 0
-                || track.unanswered > 0
                 || (!track.alive.is_zero() && now.saturating_sub(track.alive) < TELLING_TIME)
-        });
-        let entry = |track: &UpstreamTrack| LoadEntry {
-            cookie: track.cookie,
-            work: saturate(track.work()),
-            unanswered: saturate(track.unanswered),
-            alive_ms: match track.alive.is_zero() {
-                true => u16::MAX,
-                false => saturate(now.saturating_sub(track.alive).as_millis() as u32),
-            },
         };
-        let entries = telling.take(MOST_ENTRIES).map(entry).collect();
+        // Silence comes first. Of the others each report names the next ones, if there are too many.
+        let silent = self.tracks.iter().filter(suspects);
+        let sound = |track: &&UpstreamTrack| tells(track) && !suspects(track);
+        let (before, after) = self.tracks.split_at(self.told_from.min(self.tracks.len()));
+        let sound = after.iter().filter(sound).chain(before.iter().filter(sound));
+        let entries: Vec<LoadEntry> =
+            silent.chain(sound).take(MOST_ENTRIES).map(|track| load_entry(track, now)).collect();
+        self.told_from = match entries.len() < MOST_ENTRIES {
+            true => 0,
+            false => (self.told_from + MOST_ENTRIES) % self.tracks.len().max(1),
+        };
         LoadReport {
             pressed: self.pressure >= PRESSED_USE,
             stranded: self.stranded.is_some_and(|at| now.saturating_sub(at) < STRANDED_TIME),
@@ -232,6 +240,18 @@
     }
 }
 
+fn load_entry(track: &UpstreamTrack, now: Duration) -> LoadEntry {
+    let age = |since| saturate(now.saturating_sub(since).as_millis() as u32);
+    let silence = track.silent_since();
+    LoadEntry {
+        cookie: track.cookie,
+        work: saturate(track.work()),
+        unanswered: saturate(track.unanswered),
+        waiting_ms: silence.map_or(u16::MAX, age),
+        alive_ms: if track.alive.is_zero() { u16::MAX } else { age(track.alive) },
+    }
+}
+
 fn saturate(value: u32) -> u16 {
     u16::try_from(value).unwrap_or(u16::MAX)
 }
--- a/crates/mustardgrade-core/src/cookie/packet.rs
+++ b/crates/mustardgrade-core/src/cookie/packet.rs
@@ -8,6 +8,7 @@
 use super::counters::{DiscardCause, ResetCause};
 use super::token::FlowCookie;
 use crate::flow::{FlowKey, FlowPacket};
+use crate::identity::DataCentreId;
 
 /// `CookiePacket` is a caller's segment with the cookie that it carries.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -97,6 +98,20 @@
         /// The upstream.
         cookie: FlowCookie,
     },
+    /// A data centre is taken for cut off from this host.
+    CentreLost {
+        /// The data centre.
+        data_centre: DataCentreId,
+        /// Its upstreams that leave flows without an answer since its last sign of life.
+        silent: u32,
+        /// Time since that sign of life.
+        age: Duration,
+    },
+    /// A data centre that was taken for cut off has shown a sign of life.
+    CentreFound {
+        /// The data centre.
+        data_centre: DataCentreId,
+    },
     /// A caller has acknowledged what its upstream answered.
     Answered {
         /// The flow.
--- a/crates/mustardgrade-core/src/cookie/router.rs
+++ b/crates/mustardgrade-core/src/cookie/router.rs
@@ -11,6 +11,7 @@
 use super::memo::{FlowMemo, FlowStage, MemoTable};
 use super::packet::{CookiePacket, CookieVerdict, FlowEvent};
 use super::picker::{PickOutcome, PickScratch, UpstreamPicker};
+use super::reach::ReachTable;
 use super::snapshot::{CookieMatch, CookieRoute, CookieSnapshot};
 use super::token::FlowCookie;
 use super::track::{TrackOptions, UpstreamTrack};
@@ -58,6 +59,8 @@
     pub(super) expired: Duration,
     pub(super) pressure: f64,
     pub(super) stranded: Option<Duration>,
+    pub(super) reach: ReachTable,
+    pub(super) told_from: usize,
     scratch: PickScratch,
 }
 
@@ -79,6 +82,8 @@
             expired: Duration::ZERO,
             pressure: 0.0,
             stranded: None,
+            reach: ReachTable::new(),
+            told_from: 0,
             scratch: PickScratch::default(),
         }
     }
--- a/crates/mustardgrade-core/src/cookie/tests/mod.rs
+++ b/crates/mustardgrade-core/src/cookie/tests/mod.rs
@@ -3,6 +3,7 @@
 mod allocation;
 mod hazards;
 mod placing;
+mod reach;
 mod rush;
 mod silence;
 mod world;
--- a/crates/mustardgrade-core/src/cookie/tests/placing.rs
+++ b/crates/mustardgrade-core/src/cookie/tests/placing.rs
@@ -46,6 +46,7 @@
         cookie: cookie(&upstream("desk", "a", 1)),
         work: 6,
         unanswered: 0,
+        waiting_ms: u16::MAX,
         alive_ms: 10,
     };
     let mut loads = PeerLoads::default();
--- a/crates/mustardgrade-core/src/cookie/tests/silence.rs
+++ b/crates/mustardgrade-core/src/cookie/tests/silence.rs
@@ -148,7 +148,8 @@
     stuck_flows(&mut router, &[1, 2, 3, 4], DESK);
     open_and_answer(&mut router, 50, 1_900);
     let first = cookie(&upstream("desk", "a", 1));
-    let entry = LoadEntry { cookie: first, work: 1, unanswered: 0, alive_ms: 100 };
+    let entry =
+        LoadEntry { cookie: first, work: 1, unanswered: 0, waiting_ms: u16::MAX, alive_ms: 100 };
     let mut loads = PeerLoads::default();
     loads.add(&LoadReport { pressed: false, stranded: false, entries: vec![entry] }, ms(1_900));
     router.install_loads(Arc::new(loads));
--- a/crates/mustardgrade-core/src/cookie/track.rs
+++ b/crates/mustardgrade-core/src/cookie/track.rs
@@ -69,6 +69,10 @@
     pub unanswered: u32,
     /// When the first of them was sent.
     pub unanswered_since: Duration,
+    /// Flows without an answer that are presumed while the whole data centre is silent.
+    pub presumed: u32,
+    /// Since when it is.
+    pub presumed_since: Duration,
     /// When a new flow last tried the upstream while it was suspected.
     pub tried: Duration,
     /// Trials since the last sign of life.
@@ -91,6 +95,8 @@
             alive: Duration::ZERO,
             unanswered: 0,
             unanswered_since: Duration::ZERO,
+            presumed: 0,
+            presumed_since: Duration::ZERO,
             tried: Duration::ZERO,
             trials: 0,
             next_cold: Duration::ZERO,
@@ -113,11 +119,41 @@
             && now.saturating_sub(self.opening_since) > options.opening_doubt
     }
 
-    /// Notes a sign of life: a caller has acknowledged bytes of the upstream.
-    pub fn note_alive(&mut self, now: Duration) {
-        self.alive = now;
-        self.unanswered = 0;
-        self.trials = 0;
+    /// Notes a sign of life at `life`: a caller has acknowledged bytes that the upstream sent then.
+    pub fn note_alive(&mut self, life: Duration) {
+        self.alive = self.alive.max(life);
+        if life >= self.unanswered_since {
+            self.unanswered = 0;
+        }
+        if life >= self.presumed_since {
+            self.presumed = 0;
+        }
+        if self.unanswered.max(self.presumed) == 0 {
+            self.trials = 0;
+        }
+    }
+
+    /// Returns when the first flow without an answer was sent.
+    #[must_use]
+    pub fn silent_since(&self) -> Option<Duration> {
+        (self.unanswered > 0).then_some(self.unanswered_since)
+    }
+
+    /// Takes the upstream for silent since `since`, as its whole data centre is.
+    pub fn presume_silent(&mut self, since: Duration, flows: u32) {
+        if self.alive <= since {
+            self.presumed = flows;
+            self.presumed_since = since;
+        }
+    }
+
+    /// Forgets the silence that began at `since` or later: the data centre is in reach again.
+    pub fn trust_again(&mut self, since: Duration) {
+        self.presumed = 0;
+        if self.unanswered_since >= since {
+            self.unanswered = 0;
+            self.trials = 0;
+        }
     }
 
     /// Notes that a new flow tries the upstream, or one that shares its fate.
@@ -142,14 +178,18 @@
     /// Tells whether the upstream is taken for silent.
     #[must_use]
     pub fn is_suspected(&self, options: &TrackOptions) -> bool {
-        self.unanswered >= options.suspect_after
+        self.unanswered.max(self.presumed) >= options.suspect_after
     }
 
     /// Tells whether a new flow may try the upstream although it is suspected.
     #[must_use]
     pub fn may_try(&self, options: &TrackOptions, now: Duration) -> bool {
         let interval = options.trial_interval * 2_u32.pow(self.trials.min(MOST_DOUBLINGS));
-        now.saturating_sub(self.tried.max(self.unanswered_since)) >= interval
+        let since = match self.unanswered {
+            0 => self.presumed_since,
+            _ => self.unanswered_since,
+        };
+        now.saturating_sub(self.tried.max(since)) >= interval
     }
 
     /// Returns the track with what the other hosts have inferred; what this host has added since it
@@ -163,6 +203,9 @@
             if peers.alive >= self.unanswered_since {
                 self.unanswered = 0;
             }
+            if peers.alive >= self.presumed_since {
+                self.presumed = 0;
+            }
         }
         let alive_since = self.unanswered > 0 && self.alive >= self.unanswered_since;
         if !alive_since {
@@ -174,9 +217,10 @@
     /// Tells whether the upstream has been silent on so many flows that open ones are given up.
     #[must_use]
     pub fn is_silent(&self, options: &TrackOptions, now: Duration) -> bool {
-        self.unanswered >= options.silent_flows
-            && now.saturating_sub(self.unanswered_since) >= options.silent_after
-            && now.saturating_sub(self.alive) >= options.silent_after
+        let lasts = |since| now.saturating_sub(since) >= options.silent_after;
+        let seen = self.unanswered >= options.silent_flows && lasts(self.unanswered_since);
+        let presumed = self.presumed >= options.silent_flows && lasts(self.presumed_since);
+        (seen || presumed) && lasts(self.alive)
     }
 
     /// Returns the work in hand: requests, and openings that will soon bring one.
--- a/crates/mustardgrade-node/src/fleet/lines.rs
+++ b/crates/mustardgrade-node/src/fleet/lines.rs
@@ -18,6 +18,7 @@
     refused: LineBudget,
     reset: LineBudget,
     believed: LineBudget,
+    reached: LineBudget,
     discarded: LineBudget,
 }
 
@@ -30,6 +31,7 @@
             refused: budget,
             reset: budget,
             believed: budget,
+            reached: budget,
             discarded: budget,
         }
     }
@@ -46,6 +48,7 @@
             } => &mut self.refused,
             FlowEvent::Reset { .. } => &mut self.reset,
             FlowEvent::Suspected { .. } | FlowEvent::Cleared { .. } => &mut self.believed,
+            FlowEvent::CentreLost { .. } | FlowEvent::CentreFound { .. } => &mut self.reached,
             FlowEvent::Discarded { .. } => &mut self.discarded,
             FlowEvent::Answered { .. } => return,
         };
@@ -73,6 +76,13 @@
             FlowEvent::Cleared { cookie } => log::info!(
                 upstream = upstream(*cookie), revision, omitted; "upstream alive"
             ),
+            FlowEvent::CentreLost { data_centre, silent, age } => log::info!(
+                data_centre:% = data_centre, silent, silent_ms = age.as_millis() as u64,
+                revision, omitted; "data centre out of reach"
+            ),
+            FlowEvent::CentreFound { data_centre } => log::info!(
+                data_centre:% = data_centre, revision, omitted; "data centre in reach"
+            ),
             FlowEvent::Discarded { key, cookie, cause } => log::info!(
                 flow = id(key), key:% = key, cookie:% = cookie, cause:% = cause,
                 version, revision, omitted; "packet dropped"
--- a/crates/mustardgrade-node/src/metrics/registry.rs
+++ b/crates/mustardgrade-node/src/metrics/registry.rs
@@ -257,6 +257,7 @@
             ("cookie_reset", "Open flows reset", cookie.reset),
             ("cookie_dropped", "Packets dropped", cookie.dropped),
             ("cookie_suspicions", "Upstreams taken for silent", cookie.suspicions),
+            ("cookie_centres_lost", "Data centres taken for cut off", cookie.centres_lost),
             ("requests_received", "Requests from callers", requests.received),
             ("tickets_issued", "Tickets issued", requests.challenges),
             ("requests_dispatched", "Requests sent to upstreams", requests.dispatched),
