Play fleets that place by cookie in scenarios; load and silence under any fabric

Ruled out: loss of datagrams (same at 0), the stand-in's own timers (no repetition within 200 ms). Change: all work is known while reports are shared and remembered as a multiple of the own; all tell their loads only when a quarter of the data centre's hosts is pressed; a pure acknowledgement of a flow opened elsewhere is a sign of life, and with half of the flows followed up elsewhere a missing follow-up proves nothing; what others waited for counts only if it is younger than the last sign of life. The fleet tests of watch moved to the stand-ins with their bounds as they were; the core's copy of the simulated store and network is gone. The event queue is one for both worlds.

--- a/crates/mustardgrade-core/src/cookie/load.rs
+++ b/crates/mustardgrade-core/src/cookie/load.rs
@@ -32,6 +32,8 @@
 pub struct LoadReport {
     /// Whether the upstreams of the host have little room left.
     pub pressed: bool,
+    /// Whether the report names every upstream that the host has work at, as far as there is room.
+    pub whole: bool,
     /// Whether new flows of some service find nothing but silent upstreams.
     pub stranded: bool,
     /// The upstreams.
@@ -49,7 +51,8 @@
     #[must_use]
     pub fn only(&self, about: &HashSet<FlowCookie>) -> Self {
         let entries = self.entries.iter().filter(|entry| about.contains(&entry.cookie));
-        Self { pressed: self.pressed, stranded: self.stranded, entries: entries.copied().collect() }
+        let entries = entries.copied().collect();
+        Self { pressed: self.pressed, whole: false, stranded: self.stranded, entries }
     }
 }
 
@@ -74,11 +77,13 @@
 #[serde(deny_unknown_fields)]
 pub struct PeerLoads {
     loads: HashMap<FlowCookie, PeerLoad>,
+    whole: usize,
 }
 
 impl PeerLoads {
     /// Adds a report that was received at `heard`.
     pub fn add(&mut self, report: &LoadReport, heard: Duration) {
+        self.whole += usize::from(report.whole);
         for entry in &report.entries {
             let load = self.loads.entry(entry.cookie).or_default();
             load.work += u32::from(entry.work);
@@ -101,6 +106,12 @@
         self.loads.get(&cookie).copied().unwrap_or_default()
     }
 
+    /// Returns how many of the reports name all work of their host.
+    #[must_use]
+    pub fn whole_reports(&self) -> usize {
+        self.whole
+    }
+
     /// Tells whether no report is known.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/crates/mustardgrade-core/src/cookie/observe.rs
+++ b/crates/mustardgrade-core/src/cookie/observe.rs
@@ -35,6 +35,39 @@
 /// Weight of the newest look at the pressure; one host's share of the work is a noisy sample.
 const PRESSURE_GAIN: f64 = 0.1;
 
+/// Most that all hosts are taken to have in hand for each unit of a host's own work, by the number of
+/// hosts in its data centre.
+const MOST_FACTOR: f64 = 4.0;
+
+/// Weight of the newest flow in the share of flows that are followed up at another host.
+const SCATTER_GAIN: f64 = 0.1;
+
+/// Share from which on the missing follow-up of an opening proves nothing: the fabric hands the
+/// packets of a flow to any host.
+const SCATTERED: f64 = 0.5;
+
+/// `WorkShares` remembers which part of all work a host has had in hand.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct WorkShares {
+    own: f64,
+    all: f64,
+}
+
+impl WorkShares {
+    fn learn(&mut self, own: f64, all: f64) {
+        self.own += (own - self.own) * PRESSURE_GAIN;
+        self.all += (all - self.all) * PRESSURE_GAIN;
+    }
+
+    /// Returns the work of all hosts for each unit of the host's own; `hosts` while that is unknown.
+    fn factor(&self, hosts: f64) -> f64 {
+        match self.own > 0.0 {
+            true => (self.all / self.own).clamp(1.0, hosts * MOST_FACTOR),
+            false => hosts,
+        }
+    }
+}
+
 impl CookieRouter {
     /// Takes requests for answered whose callers had nothing to acknowledge: a short answer is
     /// acknowledged with the next request only.
@@ -74,6 +107,11 @@
                     return;
                 }
                 self.tracks[at].open += 1;
+                if segment.acknowledges_only() {
+                    // Callers acknowledge at once what they receive.
+                    self.note_alive(at, now);
+                    self.scatter += (1.0 - self.scatter) * SCATTER_GAIN;
+                }
                 memo
             }
         };
@@ -81,6 +119,7 @@
             || segment.acknowledgement.wrapping_sub(memo.acknowledged) as i32 > 0;
         if memo.stage == FlowStage::Opening {
             memo.stage = FlowStage::Open;
+            self.scatter -= self.scatter * SCATTER_GAIN;
             self.note_answer(segment, AnswerStage::Opening, memo.opened, now);
             if std::mem::take(&mut memo.counted) {
                 self.tracks[at].opening = self.tracks[at].opening.saturating_sub(1);
@@ -180,7 +219,9 @@
             // The opening is no work in hand any more: its caller may be gone.
             let opening = &mut self.tracks[at].opening;
             *opening = opening.saturating_sub(u32::from(counted));
-            self.note_unanswered(at, sent, now);
+            if self.scatter < SCATTERED {
+                self.note_unanswered(at, sent, now);
+            }
         }
     }
 
@@ -210,33 +251,53 @@
         };
         LoadReport {
             pressed: self.pressure >= PRESSED_USE,
+            whole: true,
             stranded: self.stranded.is_some_and(|at| now.saturating_sub(at) < STRANDED_TIME),
             entries,
         }
     }
 
-    /// Follows how much of the room in this data centre is in use, as far as this host can tell from
-    /// its own share of the flows.
+    /// Follows how much of the room in this data centre is in use.
+    ///
+    /// What all hosts have in hand is known while they share reports. At other times the host's own
+    /// work stands for it, multiplied by what it was last seen to be a part of.
     pub(super) fn follow_pressure(&mut self, now: Duration) {
         let hosts = self.snapshot.local_hosts.max(1) as f64;
-        let services = self.snapshot.by_service.values();
-        let most =
-            services.map(|positions| self.use_of(positions, now) * hosts).fold(0.0, f64::max);
+        let known = self.peers.whole_reports();
+        // With more hosts than send reports here, those that do are a sample.
+        let sample = (hosts / (known + 1) as f64).max(1.0);
+        let (mut most, mut own_sum, mut all_sum) = (0.0, 0.0, 0.0);
+        for positions in self.snapshot.by_service.values() {
+            let (own, peers, slots) = self.work_at(positions, now);
+            let all = match known {
+                0 => own * self.shares.factor(hosts),
+                _ => (own + peers) * sample,
+            };
+            own_sum += own;
+            all_sum += all;
+            most = f64::max(most, all / slots.max(1.0));
+        }
+        if known > 0 {
+            self.shares.learn(own_sum, all_sum);
+        }
         let gain = if most >= RUSH_USE { RUSH_GAIN } else { PRESSURE_GAIN };
         self.pressure += (most - self.pressure) * gain;
     }
 
-    /// Returns this host's work in hand at a service's upstreams in this data centre, by slot.
-    pub(super) fn use_of(&self, positions: &[usize], now: Duration) -> f64 {
+    /// Returns the work in hand at a service's upstreams in this data centre, that of this host and
+    /// that of the others, and the slots there.
+    fn work_at(&self, positions: &[usize], now: Duration) -> (f64, f64, f64) {
         let local = positions.iter().copied().filter(|at| {
             let view = &self.snapshot.upstreams[*at];
             view.local && view.takes_flows(now) && !view.is_cold(now)
         });
-        let (work, slots) = local.fold((0, 0), |(work, slots), at| {
-            let own = self.tracks[at].work();
-            (work + own, slots + u32::from(self.snapshot.upstreams[at].slots))
+        let (own, peers, slots) = local.fold((0, 0, 0), |(own, peers, slots), at| {
+            let track = &self.tracks[at];
+            let others = self.peers.get(track.cookie).work;
+            let room = u32::from(self.snapshot.upstreams[at].slots);
+            (own + track.work(), peers + others, slots + room)
         });
-        f64::from(work) / f64::from(slots.max(1))
+        (f64::from(own), f64::from(peers), f64::from(slots))
     }
 }
 
--- a/crates/mustardgrade-core/src/cookie/router.rs
+++ b/crates/mustardgrade-core/src/cookie/router.rs
@@ -9,6 +9,7 @@
 use super::counters::{CookieCounters, DiscardCause, ResetCause};
 use super::load::PeerLoads;
 use super::memo::{FlowMemo, FlowStage, MemoTable};
+use super::observe::WorkShares;
 use super::packet::{CookiePacket, CookieVerdict, FlowEvent};
 use super::picker::{PickOutcome, PickScratch, UpstreamPicker};
 use super::reach::ReachTable;
@@ -58,6 +59,9 @@
     pub(super) swept: Duration,
     pub(super) expired: Duration,
     pub(super) pressure: f64,
+    pub(super) shares: WorkShares,
+    /// Share of flows that were opened at another host than the one that follows them up.
+    pub(super) scatter: f64,
     pub(super) stranded: Option<Duration>,
     pub(super) reach: ReachTable,
     pub(super) told_from: usize,
@@ -81,6 +85,8 @@
             swept: Duration::ZERO,
             expired: Duration::ZERO,
             pressure: 0.0,
+            shares: WorkShares::default(),
+            scatter: 0.0,
             stranded: None,
             reach: ReachTable::new(),
             told_from: 0,
--- a/crates/mustardgrade-core/src/cookie/tests/placing.rs
+++ b/crates/mustardgrade-core/src/cookie/tests/placing.rs
@@ -50,7 +50,10 @@
         alive_ms: 10,
     };
     let mut loads = PeerLoads::default();
-    loads.add(&LoadReport { pressed: true, stranded: false, entries: vec![busy] }, ms(5));
+    loads.add(
+        &LoadReport { pressed: true, whole: true, stranded: false, entries: vec![busy] },
+        ms(5),
+    );
     router.install_loads(std::sync::Arc::new(loads));
     for caller in 0..6 {
         assert_eq!(target(&mut router, &syn(key(caller, DESK), 0), ms(10)), 2);
--- a/crates/mustardgrade-core/src/cookie/tests/rush.rs
+++ b/crates/mustardgrade-core/src/cookie/tests/rush.rs
@@ -6,8 +6,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::world::{DESK, World, cookie, data, key, syn, upstream};
-use crate::cookie::{CookieRouter, CookieVerdict, PeerLoads, ResetCause};
+use super::world::{DESK, World, cookie, data, key, ms, syn, upstream};
+use crate::cookie::{CookieRouter, CookieVerdict, LoadEntry, LoadReport, PeerLoads, ResetCause};
 use crate::identity::rendezvous_score;
 
 /// Time that an upstream works on a request, in microseconds.
@@ -204,3 +204,39 @@
     assert_eq!(router.shed, 0, "{router:?} against {hash:?}");
     assert!(router.in_time > hash.in_time * 2, "{router:?} against {hash:?}");
 }
+
+#[test]
+fn host_with_more_than_its_share_does_not_take_all_for_pressed() {
+    let mut world = World::new();
+    world.scope.hosts = 4;
+    world.scope.local_hosts = 4;
+    world.add("desk", "a", 1..5);
+    let mut router = world.router();
+    // Half of the work in hand is this host's: 6 requests at 16 slots, of 10 in all.
+    for caller in 0..6 {
+        let flow = key(caller, DESK);
+        let verdict = router.route(&syn(flow, 0), ms(1_000));
+        let CookieVerdict::Forward { cookie, .. } = verdict else { panic!("{verdict:?}") };
+        router.route(&data(flow, cookie, 101, 1, 90), ms(1_002));
+    }
+    let pressed = |router: &mut CookieRouter, from: u64| {
+        (0..60).filter(|step| router.load_report(ms(from + step)).pressed).count()
+    };
+    // Alone it takes itself for a quarter of all.
+    assert!(pressed(&mut router, 1_010) > 0);
+    let mut peers = PeerLoads::default();
+    let first = router.snapshot().upstreams[0].cookie;
+    for work in [2, 1, 1] {
+        let entry =
+            LoadEntry { cookie: first, work, unanswered: 0, waiting_ms: 0, alive_ms: u16::MAX };
+        let entries = vec![entry];
+        let report = LoadReport { pressed: false, whole: true, stranded: false, entries };
+        peers.add(&report, ms(1_070));
+    }
+    router.install_loads(std::sync::Arc::new(peers));
+    pressed(&mut router, 1_070);
+    assert_eq!(pressed(&mut router, 1_130), 0);
+    // It remembers that when the reports have ended.
+    router.install_loads(std::sync::Arc::default());
+    assert_eq!(pressed(&mut router, 1_190), 0);
+}
--- a/crates/mustardgrade-core/src/cookie/tests/silence.rs
+++ b/crates/mustardgrade-core/src/cookie/tests/silence.rs
@@ -151,7 +151,10 @@
     let entry =
         LoadEntry { cookie: first, work: 1, unanswered: 0, waiting_ms: u16::MAX, alive_ms: 100 };
     let mut loads = PeerLoads::default();
-    loads.add(&LoadReport { pressed: false, stranded: false, entries: vec![entry] }, ms(1_900));
+    loads.add(
+        &LoadReport { pressed: false, whole: true, stranded: false, entries: vec![entry] },
+        ms(1_900),
+    );
     router.install_loads(Arc::new(loads));
     assert_eq!(target(&mut router, &data(key(1, DESK), first, 101, 1, 200), ms(1_950)), 1);
 }
@@ -274,3 +277,49 @@
     assert!(router.load_report(ms(2_000)).stranded);
     assert!(!router.load_report(ms(2_500)).stranded);
 }
+
+#[test]
+fn fabric_that_scatters_packets_raises_no_suspicion() {
+    let mut world = World::new();
+    world.add("desk", "a", 1..5);
+    let mut routers: Vec<CookieRouter> = (0..13).map(|_| world.router()).collect();
+    let mut count = 0;
+    let mut any = || {
+        count += 7;
+        count % 13
+    };
+    for caller in 0..2_000_u32 {
+        let at = 1_000 + u64::from(caller) * 5;
+        let flow = key(caller, DESK);
+        let verdict = routers[any()].route(&syn(flow, 0), ms(at));
+        let CookieVerdict::Forward { cookie, .. } = verdict else { panic!("{verdict:?}") };
+        routers[any()].route(&data(flow, cookie, 101, 1, 0), ms(at + 2));
+        routers[any()].route(&data(flow, cookie, 101, 1, 90), ms(at + 3));
+        routers[any()].route(&data(flow, cookie, 191, 900, 0), ms(at + 70));
+        for router in &mut routers {
+            router.sweep(ms(at + 4));
+        }
+    }
+    let late: u64 = routers.iter().map(|router| router.counters().suspicions).sum();
+    assert!(late <= 13, "{late} suspicions of upstreams that are well");
+}
+
+#[test]
+fn what_others_waited_for_before_a_sign_of_life_counts_no_more() {
+    let mut world = World::new();
+    world.add("desk", "a", 1..3);
+    let mut router = world.router();
+    stuck_flows(&mut router, &[1], DESK);
+    let first = cookie(&upstream("desk", "a", 1));
+    // The others have waited since 1,100 ms; this host hears the upstream at 1,300 ms.
+    let entry =
+        LoadEntry { cookie: first, work: 1, unanswered: 9, waiting_ms: 900, alive_ms: u16::MAX };
+    let mut peers = PeerLoads::default();
+    let entries = vec![entry];
+    let report = LoadReport { pressed: false, whole: false, stranded: false, entries };
+    peers.add(&report, ms(2_000));
+    router.install_loads(Arc::new(peers));
+    router.route(&data(key(1, DESK), first, 301, 700, 0), ms(1_300));
+    open_and_answer(&mut router, 50, 1_990);
+    assert_eq!(target(&mut router, &data(key(1, DESK), first, 301, 700, 90), ms(2_000)), 1);
+}
--- a/crates/mustardgrade-core/src/cookie/track.rs
+++ b/crates/mustardgrade-core/src/cookie/track.rs
@@ -207,8 +207,8 @@
                 self.presumed = 0;
             }
         }
-        let alive_since = self.unanswered > 0 && self.alive >= self.unanswered_since;
-        if !alive_since {
+        // What others wait for counts unless somebody has heard the upstream since.
+        if peers.silent_since.is_some_and(|since| since > self.alive) {
             self.unanswered += peers.unanswered;
         }
         self
--- a/crates/mustardgrade-core/src/flow/packet.rs
+++ b/crates/mustardgrade-core/src/flow/packet.rs
@@ -67,6 +67,13 @@
         self.flags.syn && !self.flags.ack
     }
 
+    /// Tells whether the segment does nothing but acknowledge.
+    #[must_use]
+    pub fn acknowledges_only(&self) -> bool {
+        let flags = self.flags;
+        flags.ack && !(flags.syn || flags.fin || flags.rst) && self.payload_length == 0
+    }
+
     /// Tells whether the segment ends a flow.
     #[must_use]
     pub fn closes(&self) -> bool {
--- a/crates/mustardgrade-core/src/watch/gossip.rs
+++ b/crates/mustardgrade-core/src/watch/gossip.rs
@@ -36,6 +36,10 @@
 /// Hosts of each other data centre that a change is sent to at once.
 const RELAYS: usize = 1;
 
+/// Hosts of a data centre of which one, besides the first, has to have little room left before all
+/// tell their loads.
+const HOSTS_PER_PRESSED: usize = 4;
+
 /// `SpreadReach` says how far a change is sent at once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum SpreadReach {
@@ -93,7 +97,10 @@
         self.follow_isolation(report.stranded, now, outputs);
         let (pressed, suspects) = (report.pressed, report.suspects());
         let asked = self.loads.suspected();
-        let report = match pressed || suspects || self.loads.pressed() {
+        // One host that has little room may only have drawn more than its share.
+        let local = self.view.peers(self.options.data_centre, now).count() + 1;
+        let quorum = 1 + local / HOSTS_PER_PRESSED;
+        let report = match pressed || suspects || self.loads.pressed() >= quorum {
             true => report,
             // What another host takes for silent may answer this one.
             false => report.only(&asked),
--- a/crates/mustardgrade-core/src/watch/loads.rs
+++ b/crates/mustardgrade-core/src/watch/loads.rs
@@ -28,10 +28,10 @@
         self.reports.len() != before
     }
 
-    /// Tells whether another host has little room left, so that loads are worth telling.
+    /// Returns how many other hosts have little room left.
     #[must_use]
-    pub fn pressed(&self) -> bool {
-        self.reports.values().any(|(_, report)| report.pressed)
+    pub fn pressed(&self) -> usize {
+        self.reports.values().filter(|(_, report)| report.pressed).count()
     }
 
     /// Returns the upstreams that leave flows of other hosts without an answer.
--- a/crates/mustardgrade-core/src/watch/tests/mod.rs
+++ b/crates/mustardgrade-core/src/watch/tests/mod.rs
@@ -1,6 +1,3 @@
-//! Tests of the watch controller, over a store and a network in virtual time.
+//! Tests of the watch controller; whole fleets are played by the stand-ins' `fleet` module.
 
-mod fleet;
-mod outages;
-mod starts;
 mod state;
--- a/crates/mustardgrade-core/src/watch/tests/outages.rs
+++ b/crates/mustardgrade-standin/src/fleet/tests/outages.rs
@@ -2,8 +2,10 @@
 //!
 //! The bounds are the users': a manifest is in force within 3 s at every host in touch.
 
-use super::fleet::{FleetWorld, StoreMood, everyone, secs};
-use crate::registry::{ReportedState, StateKey, StateValue};
+use mustardgrade_core::registry::{ReportedState, StateKey, StateValue};
+
+use super::super::store::StoreMood;
+use super::{FleetWorld, everyone, secs};
 
 /// Time in which a manifest has to be in force.
 const APPLY_SECS: f64 = 3.0;
@@ -65,7 +67,7 @@
 fn watchers_are_cut_off_from_the_store() {
     applies_in_time(13, "watchers silent", |world| {
         for host in world.watchers() {
-            world.moods[host] = StoreMood::Silent;
+            world.hosts[host].mood = StoreMood::Silent;
         }
         everyone(world)
     });
@@ -75,7 +77,7 @@
 fn store_turns_the_watchers_away() {
     applies_in_time(18, "watchers refused", |world| {
         for host in world.watchers() {
-            world.moods[host] = StoreMood::Busy;
+            world.hosts[host].mood = StoreMood::Busy;
         }
         everyone(world)
     });
@@ -84,8 +86,8 @@
 #[test]
 fn store_serves_a_third_of_the_hosts() {
     applies_in_time(13, "two thirds silent", |world| {
-        for host in (0..world.count()).filter(|host| host % 3 != 1) {
-            world.moods[host] = StoreMood::Silent;
+        for host in (0..world.hosts.len()).filter(|host| host % 3 != 1) {
+            world.hosts[host].mood = StoreMood::Silent;
         }
         everyone(world)
     });
@@ -106,7 +108,7 @@
         let alone: Vec<usize> =
             everyone(world).into_iter().filter(|host| world.data_centre(*host) == 0).collect();
         for host in alone {
-            world.moods[host] = StoreMood::Silent;
+            world.hosts[host].mood = StoreMood::Silent;
         }
         everyone(world)
     });
@@ -116,7 +118,7 @@
 fn history_is_dropped() {
     applies_in_time(13, "history dropped", |world| {
         world.put_upstream(3, ReportedState::Draining);
-        world.history_from = u64::MAX;
+        world.store.history_from = u64::MAX;
         everyone(world)
     });
 }
@@ -125,16 +127,20 @@
 fn outage_delays_changes_and_loses_none() {
     for seed in 0..SEEDS {
         let mut world = FleetWorld::at_rest(13, seed);
-        world.moods.fill(StoreMood::Busy);
+        world.hosts.iter_mut().for_each(|host| host.mood = StoreMood::Busy);
         world.run(secs(4.5));
         world.put_manifest(2);
         world.put_upstream(3, ReportedState::Draining);
         world.run(secs(0.5));
-        let calls = world.calls;
+        let calls = world.store.calls;
         world.run(secs(5.0));
         // Refused calls are priced as well: hosts do not all press on.
-        assert!(world.calls - calls <= 100, "seed {seed}: {} calls", world.calls - calls);
-        world.moods.fill(StoreMood::Well);
+        assert!(
+            world.store.calls - calls <= 100,
+            "seed {seed}: {} calls",
+            world.store.calls - calls
+        );
+        world.hosts.iter_mut().for_each(|host| host.mood = StoreMood::Well);
         let since = world.now;
         world.run(secs(6.0));
         let slowest = world.in_force(&everyone(&world), 2, since);
@@ -145,11 +151,11 @@
 #[test]
 fn removal_after_an_outage_counts_as_lapsed() {
     let mut world = FleetWorld::at_rest(13, 2);
-    world.moods.fill(StoreMood::Busy);
+    world.hosts.iter_mut().for_each(|host| host.mood = StoreMood::Busy);
     world.run(secs(3.0));
     let key = StateKey::Upstream("i-3".to_owned());
     world.put(key.clone(), StateValue::Removed { lapsed: false });
-    world.moods.fill(StoreMood::Well);
+    world.hosts.iter_mut().for_each(|host| host.mood = StoreMood::Well);
     world.run(secs(4.0));
     for host in everyone(&world) {
         let book = world.controller(host).map(|controller| controller.book());
--- a/crates/mustardgrade-standin/src/lib.rs
+++ b/crates/mustardgrade-standin/src/lib.rs
@@ -6,8 +6,10 @@
 pub mod caller;
 pub mod fabric;
 pub mod feed;
+pub mod fleet;
 pub mod measure;
 pub mod platform;
+mod queue;
 pub mod scenario;
 pub mod tcp;
 pub mod trial;
--- a/crates/mustardgrade-standin/src/measure/run.rs
+++ b/crates/mustardgrade-standin/src/measure/run.rs
@@ -6,6 +6,7 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
+use crate::fleet::FleetWorld;
 use crate::scenario::{BoundRule, Comparison, Scenario};
 use crate::world::{FigureList, World};
 
@@ -130,7 +131,7 @@
                     if seed > seeds.last {
                         return;
                     }
-                    let list = World::new(scenario, seed).run();
+                    let list = play(scenario, seed);
                     let mut results = results.lock().unwrap_or_else(PoisonError::into_inner);
                     results[(seed - seeds.first) as usize] = Some(list);
                 }
@@ -197,6 +198,14 @@
     }
 }
 
+/// Plays a scenario with one seed in the world that its placement needs.
+fn play(scenario: &Scenario, seed: u64) -> FigureList {
+    match scenario.options.cookie {
+        true => FleetWorld::new(scenario, seed).run_scenario(),
+        false => World::new(scenario, seed).run(),
+    }
+}
+
 /// A bound on a figure that no run gave: a count that never rose is 0, which is held against it.
 fn absent_figure(bound: &BoundRule) -> FigureLine {
     let counted = bound.figure.starts_with("broken_") || bound.figure.starts_with("dropped_");
--- a/crates/mustardgrade-standin/src/scenario/grammar.rs
+++ b/crates/mustardgrade-standin/src/scenario/grammar.rs
@@ -30,7 +30,7 @@
 ];
 
 /// Actions, for suggestions.
-const ACTIONS: [&str; 14] = [
+const ACTIONS: [&str; 18] = [
     "drain",
     "serve",
     "gone",
@@ -45,6 +45,10 @@
     "store",
     "turn-cold",
     "restart-upstream",
+    "reuse-address",
+    "kill-watchers",
+    "power-loss",
+    "manifest",
 ];
 
 /// `Override` replaces a parameter of a scenario.
@@ -223,11 +227,13 @@
     match option.text.as_str() {
         "placement" => {
             let value = cursor.expect("placement")?;
+            options.cookie = value.text == "cookie";
             options.placement = match value.text.as_str() {
-                "guarded" => PlacementMode::Guarded,
+                "guarded" | "cookie" => PlacementMode::Guarded,
                 "computed" => PlacementMode::Computed,
                 other => {
-                    let cause = format!("placement is '{other}', expected guarded or computed");
+                    let cause =
+                        format!("placement is '{other}', expected guarded, computed or cookie");
                     return Err(cursor.error(&value, cause));
                 }
             };
@@ -248,6 +254,17 @@
                 }
             };
         }
+        "fabric" => {
+            let value = cursor.expect("'hash' or 'spray'")?;
+            options.spray = match value.text.as_str() {
+                "hash" => false,
+                "spray" => true,
+                other => {
+                    let cause = format!("fabric is '{other}', expected hash or spray");
+                    return Err(cursor.error(&value, cause));
+                }
+            };
+        }
         "collect" => options.collect = cursor.duration("collecting time")?,
         "echo" => {
             let value = cursor.expect("'on' or 'off'")?;
@@ -261,7 +278,7 @@
             };
         }
         other => {
-            let known = ["placement", "method", "collect", "echo"].into_iter();
+            let known = ["placement", "method", "collect", "echo", "fabric"].into_iter();
             return Err(cursor.error(&option, unknown_word("option", other, known)));
         }
     }
@@ -302,6 +319,13 @@
             length: cursor.duration("length of the fault")?,
         },
         "turn-cold" => EventAction::TurnCold(cursor.name("name of the upstream")?),
+        "reuse-address" => EventAction::ReuseAddress {
+            upstream: cursor.name("name of the upstream")?,
+            service: cursor.name("name of the service")?,
+        },
+        "kill-watchers" => EventAction::KillWatchers,
+        "power-loss" => EventAction::PowerLoss(cursor.duration("time without power")?),
+        "manifest" => EventAction::Manifest,
         "restart-upstream" => EventAction::RestartUpstream(cursor.name("name of the upstream")?),
         other => {
             let cause = unknown_word("action", other, ACTIONS.into_iter());
--- a/crates/mustardgrade-standin/src/scenario/model.rs
+++ b/crates/mustardgrade-standin/src/scenario/model.rs
@@ -80,6 +80,10 @@
 pub struct ScenarioOptions {
     /// How flows stay with their upstream.
     pub placement: PlacementMode,
+    /// Whether flows are placed by cookie, in a world without rules and placement documents.
+    pub cookie: bool,
+    /// Whether the fabric hands each packet to any host, not those of a flow to one by their hash.
+    pub spray: bool,
     /// How buckets are given to upstreams.
     pub method: AssignMethod,
     /// Time for which moved buckets collect their old flows.
@@ -92,6 +96,8 @@
     fn default() -> Self {
         Self {
             placement: PlacementMode::Guarded,
+            cookie: false,
+            spray: false,
             method: AssignMethod::Bounded,
             collect: Duration::from_secs(60),
             echo: true,
@@ -170,6 +176,19 @@
         /// For how long.
         length: Duration,
     },
+    /// Another upstream, of a service, comes up at the address of one that ends.
+    ReuseAddress {
+        /// Name of the upstream that ends.
+        upstream: String,
+        /// Name of the service.
+        service: String,
+    },
+    /// Every host that watches the store dies.
+    KillWatchers,
+    /// All hosts lose power and start again after a while.
+    PowerLoss(Duration),
+    /// The operators put a new version of the manifest in force.
+    Manifest,
     /// An upstream of a request service turns cold without warning.
     TurnCold(String),
     /// An upstream restarts: it forgets what it serves and is cold.
--- a/crates/mustardgrade-standin/src/world/actions.rs
+++ b/crates/mustardgrade-standin/src/world/actions.rs
@@ -98,6 +98,11 @@
             EventAction::TurnCold(name) => {
                 self.with_server(&name, super::servers::VirtualServer::turn_cold);
             }
+            // Worlds with rules know neither a manifest nor a register.
+            EventAction::ReuseAddress { .. }
+            | EventAction::KillWatchers
+            | EventAction::PowerLoss(_)
+            | EventAction::Manifest => self.tally.unknown_names += 1,
             EventAction::RestartUpstream(name) => {
                 self.with_server(&name, super::servers::VirtualServer::restart);
             }
--- a/crates/mustardgrade-standin/src/world/event.rs
+++ b/crates/mustardgrade-standin/src/world/event.rs
@@ -1,9 +1,6 @@
-//! Events of a world, in order of time.
+//! Events of a world.
 
-use std::cmp::Ordering;
-use std::collections::{BinaryHeap, VecDeque};
 use std::net::Ipv4Addr;
-use std::time::Duration;
 
 use mustardgrade_core::flow::{BindingRecord, FlowNote, FlowPacket, HopHeader};
 use mustardgrade_core::identity::{DataCentreId, ServiceId, UpstreamId};
@@ -100,72 +97,3 @@
         }
     }
 }
-
-/// `ScheduledEvent` is an event with its time; equal times keep the order of scheduling.
-#[derive(Debug)]
-pub(super) struct ScheduledEvent {
-    pub(super) at: Duration,
-    number: u64,
-    pub(super) event: WorldEvent,
-}
-
-impl PartialEq for ScheduledEvent {
-    fn eq(&self, other: &Self) -> bool {
-        (self.at, self.number) == (other.at, other.number)
-    }
-}
-
-impl Eq for ScheduledEvent {}
-
-impl PartialOrd for ScheduledEvent {
-    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for ScheduledEvent {
-    fn cmp(&self, other: &Self) -> Ordering {
-        // The heap returns its greatest element, so the earliest event counts as greatest.
-        (other.at, other.number).cmp(&(self.at, self.number))
-    }
-}
-
-/// Width of one slot of the queue in milliseconds; wider ones make the heap of near events large.
-const SLOT_MS: u128 = 20;
-
-/// `EventQueue` returns events in order of time.
-///
-/// Near events stand in a heap; far ones wait unsorted in slots until their time comes near.
-#[derive(Debug, Default)]
-pub(super) struct EventQueue {
-    near: BinaryHeap<ScheduledEvent>,
-    far: VecDeque<Vec<ScheduledEvent>>,
-    first_far: u128,
-    number: u64,
-}
-
-impl EventQueue {
-    pub(super) fn push(&mut self, at: Duration, event: WorldEvent) {
-        self.number += 1;
-        let scheduled = ScheduledEvent { at, number: self.number, event };
-        let slot = at.as_millis() / SLOT_MS;
-        let Some(index) = slot.checked_sub(self.first_far) else {
-            self.near.push(scheduled);
-            return;
-        };
-        let index = index as usize;
-        while self.far.len() <= index {
-            self.far.push_back(Vec::new());
-        }
-        self.far[index].push(scheduled);
-    }
-
-    pub(super) fn pop(&mut self) -> Option<ScheduledEvent> {
-        while self.near.is_empty() {
-            let slot = self.far.pop_front()?;
-            self.first_far += 1;
-            self.near.extend(slot);
-        }
-        self.near.pop()
-    }
-}
--- a/crates/mustardgrade-standin/src/world/mod.rs
+++ b/crates/mustardgrade-standin/src/world/mod.rs
@@ -25,9 +25,10 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use crate::queue::EventQueue;
 use crate::scenario::Scenario;
 
-use event::{EventQueue, WorldEvent};
+use event::WorldEvent;
 use figures::Tally;
 use flows::VirtualFlow;
 use hosts::VirtualHost;
@@ -42,7 +43,7 @@
     scenario: Scenario,
     now: Duration,
     random: ChaCha8Rng,
-    queue: EventQueue,
+    queue: EventQueue<WorldEvent>,
     hosts: Vec<VirtualHost>,
     host_numbers: BTreeMap<String, usize>,
     store: VirtualStore,
@@ -87,10 +88,7 @@
     #[must_use]
     pub fn run(mut self) -> FigureList {
         let end = self.scenario.length;
-        while let Some(scheduled) = self.queue.pop() {
-            if scheduled.at > end {
-                break;
-            }
+        while let Some(scheduled) = self.queue.pop_until(end) {
             self.now = scheduled.at;
             if let Some(event) = self.hold_back(scheduled.event) {
                 self.dispatch(event);
