--- a/crates/mustardgrade-core/src/cookie/mod.rs
+++ b/crates/mustardgrade-core/src/cookie/mod.rs
@@ -17,7 +17,7 @@
 pub use load::{LoadEntry, LoadReport, PeerLoad, PeerLoads};
 pub use memo::{FlowMemo, FlowStage, MemoTable};
 pub use packet::{AnswerStage, CookiePacket, CookieVerdict, FlowEvent};
-pub use router::{CookieOptions, CookieRouter};
+pub use router::{CookieOptions, CookieRouter, FabricKind};
 pub use snapshot::{
     CookieMatch, CookieRoute, CookieSnapshot, SnapshotScope, UpstreamView, build_cookie_snapshot,
 };
--- a/crates/mustardgrade-core/src/cookie/observe.rs
+++ b/crates/mustardgrade-core/src/cookie/observe.rs
@@ -5,7 +5,7 @@
 use super::load::{LoadEntry, LoadReport, MOST_ENTRIES};
 use super::memo::{FlowMemo, FlowStage};
 use super::packet::{AnswerStage, CookiePacket, FlowEvent};
-use super::router::CookieRouter;
+use super::router::{CookieRouter, FabricKind};
 use super::snapshot::CookieMatch;
 use super::token::FlowCookie;
 use super::track::UpstreamTrack;
@@ -26,9 +26,15 @@
 /// Share of the slots in use from which on hosts tell each other their load.
 const PRESSED_USE: f64 = 1.1;
 
-/// Use of the slots that no noise explains, as after a power loss.
+/// Use of the slots that is followed at once, as after a power loss, if no chance explains it.
 const RUSH_USE: f64 = 2.0;
 
+/// Deviations from the usual work of a host that chance explains.
+const RUSH_DEVIATIONS: f64 = 3.0;
+
+/// Weight of the newest look at the usual work of a host.
+const USUAL_GAIN: f64 = 0.02;
+
 /// Weight of the newest look at the pressure in a rush.
 const RUSH_GAIN: f64 = 0.6;
 
@@ -39,18 +45,12 @@
 /// hosts in its data centre.
 const MOST_FACTOR: f64 = 4.0;
 
-/// Weight of the newest flow in the share of flows that are followed up at another host.
-const SCATTER_GAIN: f64 = 0.1;
-
-/// Share from which on the missing follow-up of an opening proves nothing: the fabric hands the
-/// packets of a flow to any host.
-const SCATTERED: f64 = 0.5;
-
-/// `WorkShares` remembers which part of all work a host has had in hand.
+/// `WorkShares` remembers the work that a host usually has in hand, and which part of all that is.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct WorkShares {
     own: f64,
     all: f64,
+    usual: f64,
 }
 
 impl WorkShares {
@@ -59,6 +59,13 @@
         self.all += (all - self.all) * PRESSURE_GAIN;
     }
 
+    /// Takes in the work in hand now; returns whether it is more than chance explains.
+    fn stands_out(&mut self, own: f64) -> bool {
+        let most = self.usual + RUSH_DEVIATIONS * self.usual.sqrt() + 1.0;
+        self.usual += (own - self.usual) * USUAL_GAIN;
+        own > most
+    }
+
     /// Returns the work of all hosts for each unit of the host's own; `hosts` while that is unknown.
     fn factor(&self, hosts: f64) -> f64 {
         match self.own > 0.0 {
@@ -107,10 +114,9 @@
                     return;
                 }
                 self.tracks[at].open += 1;
-                if segment.acknowledges_only() {
+                if self.options.fabric == FabricKind::Any && segment.acknowledges_only() {
                     // Callers acknowledge at once what they receive.
                     self.note_alive(at, now);
-                    self.scatter += (1.0 - self.scatter) * SCATTER_GAIN;
                 }
                 memo
             }
@@ -119,7 +125,6 @@
             || segment.acknowledgement.wrapping_sub(memo.acknowledged) as i32 > 0;
         if memo.stage == FlowStage::Opening {
             memo.stage = FlowStage::Open;
-            self.scatter -= self.scatter * SCATTER_GAIN;
             self.note_answer(segment, AnswerStage::Opening, memo.opened, now);
             if std::mem::take(&mut memo.counted) {
                 self.tracks[at].opening = self.tracks[at].opening.saturating_sub(1);
@@ -219,7 +224,7 @@
             // The opening is no work in hand any more: its caller may be gone.
             let opening = &mut self.tracks[at].opening;
             *opening = opening.saturating_sub(u32::from(counted));
-            if self.scatter < SCATTERED {
+            if self.options.fabric == FabricKind::Hash {
                 self.note_unanswered(at, sent, now);
             }
         }
@@ -280,7 +285,8 @@
         if known > 0 {
             self.shares.learn(own_sum, all_sum);
         }
-        let gain = if most >= RUSH_USE { RUSH_GAIN } else { PRESSURE_GAIN };
+        let rush = self.shares.stands_out(own_sum) && most >= RUSH_USE;
+        let gain = if rush { RUSH_GAIN } else { PRESSURE_GAIN };
         self.pressure += (most - self.pressure) * gain;
     }
 
--- a/crates/mustardgrade-core/src/cookie/router.rs
+++ b/crates/mustardgrade-core/src/cookie/router.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use derive_more::{Display, FromStr};
 use serde::{Deserialize, Serialize};
 
 use super::counters::{CookieCounters, DiscardCause, ResetCause};
@@ -28,10 +29,25 @@
 /// Idle time of flows while no manifest states one.
 const DEFAULT_IDLE: Duration = Duration::from_secs(60);
 
+/// `FabricKind` says to which hosts the fabric hands the packets of one flow.
+#[derive(Debug, Display, FromStr, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum FabricKind {
+    /// Each packet to any host: an opening whose follow-up passes elsewhere is no sign of silence.
+    #[default]
+    #[display("any")]
+    Any,
+    /// All to one host while the set of hosts stays as it is.
+    #[display("hash")]
+    Hash,
+}
+
 /// `CookieOptions` are the settings of a [`CookieRouter`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct CookieOptions {
+    /// The fabric before the hosts.
+    pub fabric: FabricKind,
     /// Flows that the host remembers.
     pub flow_capacity: usize,
     /// Bounds of suspicion.
@@ -40,7 +56,11 @@
 
 impl Default for CookieOptions {
     fn default() -> Self {
-        Self { flow_capacity: 65_536, track: TrackOptions::default() }
+        Self {
+            fabric: FabricKind::default(),
+            flow_capacity: 65_536,
+            track: TrackOptions::default(),
+        }
     }
 }
 
@@ -60,8 +80,6 @@
     pub(super) expired: Duration,
     pub(super) pressure: f64,
     pub(super) shares: WorkShares,
-    /// Share of flows that were opened at another host than the one that follows them up.
-    pub(super) scatter: f64,
     pub(super) stranded: Option<Duration>,
     pub(super) reach: ReachTable,
     pub(super) told_from: usize,
@@ -86,7 +104,6 @@
             expired: Duration::ZERO,
             pressure: 0.0,
             shares: WorkShares::default(),
-            scatter: 0.0,
             stranded: None,
             reach: ReachTable::new(),
             told_from: 0,
--- a/crates/mustardgrade-core/src/cookie/tests/silence.rs
+++ b/crates/mustardgrade-core/src/cookie/tests/silence.rs
@@ -4,7 +4,8 @@
 
 use super::world::{DESK, REGISTER, World, cookie, data, key, ms, syn, target, upstream};
 use crate::cookie::{
-    CookieRouter, CookieVerdict, FlowEvent, LoadEntry, LoadReport, PeerLoads, ResetCause,
+    CookieRouter, CookieVerdict, FabricKind, FlowEvent, LoadEntry, LoadReport, PeerLoads,
+    ResetCause,
 };
 
 /// Lets upstream `tag` answer the opening of `caller`.
@@ -282,7 +283,8 @@
 fn fabric_that_scatters_packets_raises_no_suspicion() {
     let mut world = World::new();
     world.add("desk", "a", 1..5);
-    let mut routers: Vec<CookieRouter> = (0..13).map(|_| world.router()).collect();
+    let mut routers: Vec<CookieRouter> =
+        (0..13).map(|_| world.router_behind(FabricKind::Any)).collect();
     let mut count = 0;
     let mut any = || {
         count += 7;
@@ -301,7 +303,7 @@
         }
     }
     let late: u64 = routers.iter().map(|router| router.counters().suspicions).sum();
-    assert!(late <= 13, "{late} suspicions of upstreams that are well");
+    assert_eq!(late, 0, "suspicions of upstreams that are well");
 }
 
 #[test]
--- a/crates/mustardgrade-core/src/cookie/tests/world.rs
+++ b/crates/mustardgrade-core/src/cookie/tests/world.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use crate::cookie::{
-    CookieOptions, CookiePacket, CookieRouter, CookieVerdict, FlowCookie, SnapshotScope,
-    build_cookie_snapshot,
+    CookieOptions, CookiePacket, CookieRouter, CookieVerdict, FabricKind, FlowCookie,
+    SnapshotScope, build_cookie_snapshot,
 };
 use crate::flow::{FlowKey, FlowPacket, SegmentFlags};
 use crate::identity::{DataCentreId, ServiceId};
@@ -91,7 +91,12 @@
 
     /// Creates the router of a host that knows this world.
     pub(super) fn router(&self) -> CookieRouter {
-        let mut router = CookieRouter::new(CookieOptions::default());
+        self.router_behind(FabricKind::Hash)
+    }
+
+    /// Creates the router of a host behind a fabric.
+    pub(super) fn router_behind(&self, fabric: FabricKind) -> CookieRouter {
+        let mut router = CookieRouter::new(CookieOptions { fabric, ..CookieOptions::default() });
         self.install(&mut router);
         router
     }
--- a/crates/mustardgrade-core/src/watch/gossip.rs
+++ b/crates/mustardgrade-core/src/watch/gossip.rs
@@ -96,14 +96,14 @@
     ) {
         self.follow_isolation(report.stranded, now, outputs);
         let (pressed, suspects) = (report.pressed, report.suspects());
-        let asked = self.loads.suspected();
-        // One host that has little room may only have drawn more than its share.
+        // One host that has little room may only have drawn more than its share: until more of them
+        // say so, it tells no more than that.
         let local = self.view.peers(self.options.data_centre, now).count() + 1;
-        let quorum = 1 + local / HOSTS_PER_PRESSED;
-        let report = match pressed || suspects || self.loads.pressed() >= quorum {
+        let wide = self.loads.pressed() + usize::from(pressed) > local / HOSTS_PER_PRESSED;
+        let report = match suspects || wide {
             true => report,
             // What another host takes for silent may answer this one.
-            false => report.only(&asked),
+            false => report.only(&self.loads.suspected()),
         };
         let sharing = pressed || suspects || !report.entries.is_empty();
         if sharing != self.sharing {
--- a/crates/mustardgrade-node/src/fleet/actor.rs
+++ b/crates/mustardgrade-node/src/fleet/actor.rs
@@ -11,8 +11,7 @@
 use mustardgrade_core::clock::Clock;
 use mustardgrade_core::cookie::LoadReport;
 use mustardgrade_core::watch::{
-    FleetMessage, FleetState, StateBatch, StoreCall, WatchController, WatchInput, WatchNote,
-    WatchOutput,
+    FleetMessage, FleetState, StateBatch, StoreCall, WatchController, WatchInput, WatchOutput,
 };
 use mustardgrade_wire::peer::{FrameSealer, PeerBody, PeerCall, PeerReply};
 use tokio::net::UdpSocket;
@@ -21,6 +20,7 @@
 
 use super::edges::StoreEdge;
 use super::lane::FleetShared;
+use super::notes::NoteLines;
 use super::pages::{FleetStatus, rule_lines};
 use crate::calls::CallClient;
 use crate::clock::UnixClock;
@@ -68,13 +68,22 @@
     call: Option<JoinHandle<()>>,
     call_number: u64,
     report: Arc<LoadReport>,
+    notes: NoteLines,
 }
 
 impl RegistryActor {
     /// Creates the actor's state.
     #[must_use]
     pub fn new(controller: WatchController, links: RegistryLinks, sealer: FrameSealer) -> Self {
-        Self { controller, links, sealer, call: None, call_number: 0, report: Arc::default() }
+        Self {
+            controller,
+            links,
+            sealer,
+            call: None,
+            call_number: 0,
+            report: Arc::default(),
+            notes: NoteLines::default(),
+        }
     }
 
     fn feed(&mut self, input: WatchInput, me: &ActorRef<Self>) {
@@ -110,7 +119,9 @@
                 self.links.shared.snapshot.store(Arc::new(self.controller.snapshot()));
             }
             WatchOutput::Loads(loads) => self.links.shared.peers.store(Arc::new(loads)),
-            WatchOutput::Note(note) => self.write(&note),
+            WatchOutput::Note(note) => {
+                self.notes.write(&note, &self.links.name, self.links.clock.now());
+            }
         }
     }
 
@@ -162,16 +173,6 @@
         }));
     }
 
-    fn write(&self, note: &WatchNote) {
-        let host = self.links.name.as_str();
-        match note {
-            WatchNote::Doubtful { .. } | WatchNote::StoreLost { .. } => {
-                log::warn!(host; "{note}");
-            }
-            _ => log::info!(host; "{note}"),
-        }
-    }
-
     /// Publishes what operators and the platform read.
     fn publish(&self) {
         let status = self.controller.status(self.links.clock.now());
--- a/crates/mustardgrade-node/src/fleet/mod.rs
+++ b/crates/mustardgrade-node/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 mod edges;
 mod lane;
 mod lines;
+mod notes;
 mod pages;
 mod settings;
 mod tasks;
--- a/crates/mustardgrade-node/src/fleet/settings.rs
+++ b/crates/mustardgrade-node/src/fleet/settings.rs
@@ -19,7 +19,7 @@
 pub const FLEET_KEYS: &[(&str, &[&str])] = &[
     ("host", &["name", "data_centre", "address", "core_share"]),
     ("fleet", &["secret", "previous_secret", "seeds", "first_port", "last_port"]),
-    ("traffic", &["listen"]),
+    ("traffic", &["listen", "fabric"]),
     ("ready", &["listen", "path"]),
     ("flow", &["capacity"]),
     ("stop", &["grace_secs"]),
@@ -77,6 +77,9 @@
         }
         let grace: f64 = reader.optional("stop", "grace_secs", "seconds")?.unwrap_or(6.0);
         let mut router = CookieOptions::default();
+        if let Some(fabric) = reader.optional("traffic", "fabric", "hash or any")? {
+            router.fabric = fabric;
+        }
         if let Some(capacity) = reader.optional("flow", "capacity", "a number of flows")? {
             router.flow_capacity = capacity;
         }
--- a/crates/mustardgrade-standin/src/fleet/hosts.rs
+++ b/crates/mustardgrade-standin/src/fleet/hosts.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use mustardgrade_core::cookie::{CookieOptions, CookiePacket, CookieRouter, CookieVerdict};
+use mustardgrade_core::cookie::{
+    CookieOptions, CookiePacket, CookieRouter, CookieVerdict, FabricKind,
+};
 use mustardgrade_core::identity::{DataCentreId, HostId, HostIncarnation};
 use mustardgrade_core::watch::{
     FleetState, WatchController, WatchInput, WatchOptions, WatchOutput, WatchSchedule,
@@ -65,7 +67,7 @@
             name: name.to_owned(),
             data_centre,
             controller: None,
-            router: CookieRouter::new(CookieOptions::default()),
+            router: CookieRouter::new(self.router_options()),
             sealer: FrameSealer::new(id, 0, FleetKeys { current: key, previous: None }),
             run: 0,
             call: 0,
@@ -81,6 +83,14 @@
         self.hosts.len() - 1
     }
 
+    fn router_options(&self) -> CookieOptions {
+        let fabric = match self.scenario.options.spray {
+            true => FabricKind::Any,
+            false => FabricKind::Hash,
+        };
+        CookieOptions { fabric, ..CookieOptions::default() }
+    }
+
     pub(super) fn data_centre_id(&self, data_centre: usize) -> DataCentreId {
         let spec = self.scenario.data_centres.get(data_centre);
         DataCentreId::from_name(spec.map_or("", |spec| &spec.name))
@@ -107,10 +117,11 @@
             schedule: WatchSchedule::default(),
             seed: self.random.random(),
         };
+        let router = CookieRouter::new(self.router_options());
         let entry = &mut self.hosts[host];
         entry.run = run;
         entry.controller = Some(WatchController::new(options, at));
-        entry.router = CookieRouter::new(CookieOptions::default());
+        entry.router = router;
         entry.ready_at = None;
         entry.versions.clear();
         entry.started = at;
