One start of the control thread; cookies map to positions; pressure in a module of its own

Mending: the control thread's start stood in host and in fleet, CookieMatch was an Option by another name, observe.rs held the pressure of a data centre as well. A leaving host of the stand-in now ends after its routing time. The reach of data centres is looked at only while something is silent, so that it costs nothing at rest.

--- a/crates/mustardgrade-core/src/cookie/load.rs
+++ b/crates/mustardgrade-core/src/cookie/load.rs
@@ -78,12 +78,14 @@
 pub struct PeerLoads {
     loads: HashMap<FlowCookie, PeerLoad>,
     whole: usize,
+    suspects: bool,
 }
 
 impl PeerLoads {
     /// Adds a report that was received at `heard`.
     pub fn add(&mut self, report: &LoadReport, heard: Duration) {
         self.whole += usize::from(report.whole);
+        self.suspects |= report.suspects();
         for entry in &report.entries {
             let load = self.loads.entry(entry.cookie).or_default();
             load.work += u32::from(entry.work);
@@ -106,6 +108,12 @@
         self.loads.get(&cookie).copied().unwrap_or_default()
     }
 
+    /// Tells whether a report names an upstream without an answer.
+    #[must_use]
+    pub fn suspects(&self) -> bool {
+        self.suspects
+    }
+
     /// Returns how many of the reports name all work of their host.
     #[must_use]
     pub fn whole_reports(&self) -> usize {
--- a/crates/mustardgrade-core/src/cookie/mod.rs
+++ b/crates/mustardgrade-core/src/cookie/mod.rs
@@ -7,6 +7,7 @@
 mod observe;
 mod packet;
 mod picker;
+mod pressure;
 mod reach;
 mod router;
 mod snapshot;
@@ -19,7 +20,7 @@
 pub use packet::{AnswerStage, CookiePacket, CookieVerdict, FlowEvent};
 pub use router::{CookieOptions, CookieRouter, FabricKind};
 pub use snapshot::{
-    CookieMatch, CookieRoute, CookieSnapshot, SnapshotScope, UpstreamView, build_cookie_snapshot,
+    CookieRoute, CookieSnapshot, SnapshotScope, UpstreamView, build_cookie_snapshot,
 };
 pub use token::FlowCookie;
 pub use track::{TrackOptions, UpstreamTrack};
--- a/crates/mustardgrade-core/src/cookie/reach.rs
+++ b/crates/mustardgrade-core/src/cookie/reach.rs
@@ -39,6 +39,12 @@
 impl CookieRouter {
     /// Concludes from the upstreams of each other data centre whether it is cut off.
     pub(super) fn follow_reach(&mut self, now: Duration) {
+        let lost = self.reach.values().any(|reach| reach.lost.is_some());
+        let silent =
+            self.peers.suspects() || self.tracks.iter().any(|t| t.silent_since().is_some());
+        if !lost && !silent {
+            return;
+        }
         let mut table = std::mem::take(&mut self.reach);
         self.look_for_life(&mut table);
         self.look_for_silence(&mut table, now);
--- a/crates/mustardgrade-core/src/cookie/router.rs
+++ b/crates/mustardgrade-core/src/cookie/router.rs
@@ -10,11 +10,11 @@
 use super::counters::{CookieCounters, DiscardCause, ResetCause};
 use super::load::PeerLoads;
 use super::memo::{FlowMemo, FlowStage, MemoTable};
-use super::observe::WorkShares;
 use super::packet::{CookiePacket, CookieVerdict, FlowEvent};
 use super::picker::{PickOutcome, PickScratch, UpstreamPicker};
+use super::pressure::WorkShares;
 use super::reach::ReachTable;
-use super::snapshot::{CookieMatch, CookieRoute, CookieSnapshot};
+use super::snapshot::{CookieRoute, CookieSnapshot};
 use super::token::FlowCookie;
 use super::track::{TrackOptions, UpstreamTrack};
 use crate::flow::{FlowKey, FlowPacket};
@@ -290,7 +290,7 @@
             self.forget(&segment.key);
             return None;
         }
-        let CookieMatch::Upstream(at) = snapshot.find(memo.cookie) else { return None };
+        let at = snapshot.find(memo.cookie)?;
         let view = &snapshot.upstreams[at];
         let track = &self.tracks[at];
         let lives = track.alive > memo.opened;
@@ -334,7 +334,7 @@
                 false => CookieVerdict::Drop(DiscardCause::UnknownRoute),
             };
         };
-        let CookieMatch::Upstream(at) = snapshot.find(packet.cookie) else {
+        let Some(at) = snapshot.find(packet.cookie) else {
             return CookieVerdict::Drop(DiscardCause::UnknownCookie);
         };
         let view = &snapshot.upstreams[at];
@@ -413,7 +413,7 @@
 
 /// Takes a flow out of what is counted for its upstream.
 fn release(snapshot: &CookieSnapshot, tracks: &mut [UpstreamTrack], memo: &FlowMemo) {
-    let CookieMatch::Upstream(at) = snapshot.find(memo.cookie) else { return };
+    let Some(at) = snapshot.find(memo.cookie) else { return };
     let track = &mut tracks[at];
     let counted = u32::from(memo.counted);
     match memo.stage {
--- a/crates/mustardgrade-core/src/cookie/snapshot.rs
+++ b/crates/mustardgrade-core/src/cookie/snapshot.rs
@@ -84,15 +84,6 @@
     pub services: HashSet<ServiceId>,
 }
 
-/// `CookieMatch` is what a cookie stands for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum CookieMatch {
-    /// Position of the upstream in the snapshot.
-    Upstream(usize),
-    /// No known upstream has the cookie.
-    Unknown,
-}
-
 /// `CookieSnapshot` is all that a traffic thread needs to know.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct CookieSnapshot {
@@ -120,13 +111,10 @@
 }
 
 impl CookieSnapshot {
-    /// Returns what a cookie stands for.
+    /// Returns the position of the upstream that a cookie names, if any is known.
     #[must_use]
-    pub fn find(&self, cookie: FlowCookie) -> CookieMatch {
-        match self.by_cookie.get(&cookie) {
-            Some(at) => CookieMatch::Upstream(*at),
-            None => CookieMatch::Unknown,
-        }
+    pub fn find(&self, cookie: FlowCookie) -> Option<usize> {
+        self.by_cookie.get(&cookie).copied()
     }
 }
 
--- a/crates/mustardgrade-node/src/fleet/lines.rs
+++ b/crates/mustardgrade-node/src/fleet/lines.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use mustardgrade_core::cookie::{CookieMatch, CookieSnapshot, FlowCookie, FlowEvent, ResetCause};
+use mustardgrade_core::cookie::{CookieSnapshot, FlowCookie, FlowEvent, ResetCause};
 use mustardgrade_core::flow::FlowKey;
 
 use crate::logging::{LineBudget, LineGrant};
@@ -98,8 +98,5 @@
 }
 
 fn name(snapshot: &CookieSnapshot, cookie: FlowCookie) -> &str {
-    match snapshot.find(cookie) {
-        CookieMatch::Upstream(at) => &snapshot.upstreams[at].name,
-        CookieMatch::Unknown => "-",
-    }
+    snapshot.find(cookie).map_or("-", |at| &snapshot.upstreams[at].name)
 }
--- a/crates/mustardgrade-node/src/fleet/threads.rs
+++ b/crates/mustardgrade-node/src/fleet/threads.rs
@@ -22,7 +22,7 @@
 };
 use crate::calls::{CallClient, serve_calls};
 use crate::clock::UnixClock;
-use crate::host::{HostError, Result};
+use crate::host::{Result, spawn_control};
 use crate::metrics::HostMetrics;
 use crate::traffic::bind_udp;
 
@@ -102,32 +102,11 @@
 }
 
 impl ControlParts {
-    /// Starts the thread and waits until its sockets are bound.
     fn spawn(self) -> Result<JoinHandle<()>> {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-        let (bound, bound_seen) = std::sync::mpsc::channel();
-        let thread = std::thread::Builder::new().name("control".to_owned()).spawn(move || {
-            runtime.block_on(async move {
-                let shared = Arc::clone(&self.shared);
-                let mut stop = self.switches.stop.clone();
-                match self.start().await {
-                    Ok(()) => {
-                        let _gone = bound.send(Ok(()));
-                        let _gone = stop.wait_for(|stop| *stop).await;
-                        shared.stop.store(true, Ordering::Relaxed);
-                    }
-                    Err(error) => {
-                        shared.stop.store(true, Ordering::Relaxed);
-                        let _gone = bound.send(Err(error));
-                    }
-                }
-            });
-        })?;
-        match bound_seen.recv() {
-            Ok(Ok(())) => Ok(thread),
-            Ok(Err(error)) => Err(error),
-            Err(_) => Err(HostError::ThreadEnded),
-        }
+        let shared = Arc::clone(&self.shared);
+        let stop = self.switches.stop.clone();
+        let ended = move || shared.stop.store(true, Ordering::Relaxed);
+        spawn_control(move || self.start(), stop, ended)
     }
 
     async fn start(self) -> Result<()> {
--- a/crates/mustardgrade-node/src/host/mod.rs
+++ b/crates/mustardgrade-node/src/host/mod.rs
@@ -1,5 +1,6 @@
 //! An entry host: all its threads, from start to stop.
 
+mod control;
 mod errors;
 
 use std::net::SocketAddr;
@@ -37,6 +38,7 @@
     LaneChannels, LaneCommand, LaneSettings, TrafficShared, bind_udp, spawn_lane,
 };
 
+pub(crate) use control::spawn_control;
 pub use errors::{HostError, Result};
 
 /// Commands that wait for a traffic thread.
@@ -303,29 +305,9 @@
 }
 
 impl ControlThread {
-    /// Starts the thread and waits until its sockets are bound.
     fn spawn(self) -> Result<JoinHandle<()>> {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-        let (bound, bound_seen) = std::sync::mpsc::channel();
-        let thread = std::thread::Builder::new().name("control".to_owned()).spawn(move || {
-            runtime.block_on(async move {
-                let mut stop = self.stop.clone();
-                match self.start().await {
-                    Ok(()) => {
-                        let _gone = bound.send(Ok(()));
-                        let _gone = stop.wait_for(|stop| *stop).await;
-                    }
-                    Err(error) => {
-                        let _gone = bound.send(Err(error));
-                    }
-                }
-            });
-        })?;
-        match bound_seen.recv() {
-            Ok(Ok(())) => Ok(thread),
-            Ok(Err(error)) => Err(error),
-            Err(_) => Err(HostError::ThreadEnded),
-        }
+        let stop = self.stop.clone();
+        spawn_control(move || self.start(), stop, || ())
     }
 
     async fn start(self) -> Result<()> {
--- a/crates/mustardgrade-standin/src/fleet/actions.rs
+++ b/crates/mustardgrade-standin/src/fleet/actions.rs
@@ -29,6 +29,9 @@
 /// Time that a slow store takes for an answer.
 const SLOW_TIME: Duration = Duration::from_millis(900);
 
+/// Time for which a leaving host routes on.
+const LEAVE_TIME: Duration = Duration::from_millis(1_600);
+
 /// Time from the end of an upstream until another one uses its address.
 const REUSE_TIME: Duration = Duration::from_secs(2);
 
@@ -210,6 +213,8 @@
     /// Asks a host to stop; it routes on until its process ends.
     fn leave(&mut self, host: usize) {
         self.feed(host, WatchInput::Leave);
+        let run = self.hosts[host].run;
+        self.later(LEAVE_TIME, FleetEvent::End { host, run });
     }
 
     /// Lets an upstream end and, later, one of another service come up at its address.
--- a/crates/mustardgrade-standin/src/fleet/event.rs
+++ b/crates/mustardgrade-standin/src/fleet/event.rs
@@ -42,6 +42,8 @@
     Action(usize),
     /// An upstream of a service comes up at an address that another one has left.
     ComeUp { service: usize, address: SocketAddrV4 },
+    /// The process of a host that has left ends.
+    End { host: usize, run: u64 },
     /// A host starts.
     Start { host: usize },
     /// A data centre is in touch again.
@@ -62,6 +64,7 @@
             | Self::Look { host, run }
             | Self::Input { host, run, .. }
             | Self::Answer { host, run, .. }
+            | Self::End { host, run }
             | Self::Packet { host, run, .. } => Some((*host, *run)),
             _ => None,
         }
--- a/crates/mustardgrade-standin/src/fleet/mod.rs
+++ b/crates/mustardgrade-standin/src/fleet/mod.rs
@@ -131,6 +131,7 @@
             FleetEvent::OpenRequest => self.open_request(),
             FleetEvent::Action(index) => self.act(index),
             FleetEvent::ComeUp { service, address } => self.add_server_at(service, address),
+            FleetEvent::End { host, .. } => self.kill(host),
             FleetEvent::Start { host } => self.start(host, Duration::ZERO),
             FleetEvent::Heal { data_centre } => self.heal(data_centre),
             FleetEvent::StoreWorks => self.store_works(),
