--- a/crates/mustardgrade-cli/src/commands/mod.rs
+++ b/crates/mustardgrade-cli/src/commands/mod.rs
@@ -19,7 +19,7 @@
 pub use rules::{CheckCommand, DiffCommand, HistoryCommand, run_check, run_diff, run_history};
 pub use status::{StatusCommand, run_status};
 pub use trace::{TraceCommand, run_trace};
-pub use trial::{TryCommand, run_try};
+pub use trial::{TryCommand, add_packet_trace, run_try};
 
 /// Exit code of a command that ran but has a negative result, such as differences, hosts that lag
 /// behind, no matching lines, or a failed check.
--- a/crates/mustardgrade-cli/src/commands/trial.rs
+++ b/crates/mustardgrade-cli/src/commands/trial.rs
@@ -5,15 +5,17 @@
 use argh::FromArgs;
 use indicatif::{ProgressBar, ProgressStyle};
 use mustardgrade::core::flow::PlacementMode;
-use mustardgrade_standin::trial::{TrialOptions, TrialReport, TrialStage, run_trial};
+use mustardgrade_standin::trial::{
+    PACKET_LOG_TARGET, TrialOptions, TrialReport, TrialStage, run_trial,
+};
 
 use super::{CommandError, EXIT_NEGATIVE_RESULT, Result};
 
 /// Rules file that the trial uses by default.
 const DEFAULT_RULES: &str = include_str!("../../../../examples/tunis.rules");
 
-/// Second octet of the loopback addresses that the trial uses.
-const LOOPBACK_SECOND_OCTET: u8 = 77;
+/// Name of the log file in the trace directory.
+const TRACE_FILE_NAME: &str = "trial.log";
 
 /// Default number of feeds, which are long-lived flows that callers hold open.
 const DEFAULT_FEED_COUNT: usize = 280;
@@ -33,11 +35,34 @@
     /// number of long-lived flows that callers hold open
     #[argh(option, default = "DEFAULT_FEED_COUNT")]
     feeds: usize,
+    /// directory for a log with a line for each packet that a host routes
+    #[argh(option)]
+    trace: Option<PathBuf>,
     /// print the report as JSON
     #[argh(switch)]
     json: bool,
 }
 
+/// Sends the log to a file in the trace directory, with a line for each packet, if the command asks
+/// for it.
+///
+/// # Errors
+///
+/// Fails if the file cannot be created.
+pub fn add_packet_trace(command: &TryCommand, logger: &mut env_logger::Builder) -> Result<()> {
+    let Some(directory) = &command.trace else { return Ok(()) };
+    let path = directory.join(TRACE_FILE_NAME);
+    let file = std::fs::create_dir_all(directory).and_then(|()| std::fs::File::create(&path));
+    let file =
+        file.map_err(|error| CommandError::invalid_input(format!("{}: {error}", path.display())))?;
+    logger
+        .filter_module("mustardgrade_node", log::LevelFilter::Debug)
+        .filter_module(PACKET_LOG_TARGET, log::LevelFilter::Trace)
+        .filter_module("mustardgrade_standin", log::LevelFilter::Warn)
+        .target(env_logger::Target::Pipe(Box::new(file)));
+    Ok(())
+}
+
 /// Runs the trial and prints its report; the exit code is 1 if a guarantee was not kept.
 pub fn run_try(command: &TryCommand) -> Result<u8> {
     let placement = match command.placement.as_str() {
@@ -53,12 +78,8 @@
         Some(path) => std::fs::read_to_string(path)
             .map_err(|error| CommandError::invalid_input(format!("{}: {error}", path.display())))?,
     };
-    let options = TrialOptions {
-        rules_text: rules,
-        placement_mode: placement,
-        feed_count: command.feeds,
-        loopback_second_octet: LOOPBACK_SECOND_OCTET,
-    };
+    let options =
+        TrialOptions { rules_text: rules, placement_mode: placement, feed_count: command.feeds };
     let report = run_with_progress_bar(&options, command.json).map_err(CommandError::failed)?;
     match command.json {
         true => println!("{}", serde_json::json!(report)),
--- a/crates/mustardgrade-core/src/flow/owner.rs
+++ b/crates/mustardgrade-core/src/flow/owner.rs
@@ -56,8 +56,10 @@
 
     /// Determines the upstream of a flow as the owner of its bucket.
     ///
-    /// A packet of a recorded flow is delivered at once. A packet of a flow without a record goes
-    /// to the other host of the chain, which records the flow and delivers the packet.
+    /// A packet of a recorded flow is delivered at once, unless it opens the flow. Other packets go to
+    /// the other host of the chain, which records the flow, delivers the packet and confirms the
+    /// record. Until then the upstream of an opening is provisional: the other host may not have
+    /// received the segment, or may know the flow on another upstream.
     pub(super) fn route_as_owner(
         &mut self,
         context: PacketContext<'_>,
@@ -65,7 +67,9 @@
         claim: Option<u16>,
     ) -> FlowVerdict {
         let service = context.route.service;
-        if let Some(upstream) = self.records.get(service, context.fingerprint) {
+        let opens_flow = context.packet.opens_flow();
+        let recorded = self.records.get(service, context.fingerprint);
+        if let Some(upstream) = recorded.filter(|_| !opens_flow) {
             let claim_is_wrong = claim.is_some_and(|claimed| claimed != upstream);
             self.answer_asking_host(context, &hop, upstream, claim_is_wrong);
             return self.deliver_to_upstream(context, upstream);
@@ -81,11 +85,14 @@
             let header = HopHeader { hops: hop.hops + 1, sender: self.local_host, ..hop };
             return self.forward_to_host(context, &snapshot, chain.owner, header);
         }
-        let upstream = match context.packet.opens_flow() {
-            true => context.placement.upstream_for_new_flow(),
-            false => claim.unwrap_or(context.placement.upstream_for_unrecorded_flow()),
+        let assigned = recorded.or_else(|| self.openings.get(service, context.fingerprint));
+        let upstream = match assigned {
+            Some(upstream) => upstream,
+            None if opens_flow => context.placement.upstream_for_new_flow(),
+            None => claim.unwrap_or(context.placement.upstream_for_unrecorded_flow()),
         };
-        if context.packet.opens_flow()
+        if opens_flow
+            && assigned.is_none()
             && !context.route.upstream(upstream).is_some_and(|route| route.accepts_new_flows)
         {
             return self.drop_packet(DropCause::AwaitingMove);
@@ -95,14 +102,15 @@
             self.replicate_to_joining_hosts(&snapshot, context, upstream);
             return self.deliver_to_upstream(context, upstream);
         };
-        if context.packet.opens_flow() {
+        if opens_flow {
             // The packet itself carries the new record to the replica. If the packet is lost, the
             // flow has not reached an upstream either, so no record is missing.
-            self.store_record(service, context.fingerprint, upstream);
-            self.replicate_to_joining_hosts(&snapshot, context, upstream);
+            let record = BindingRecord { fingerprint: context.fingerprint, upstream };
+            let stored = recorded.is_some() || self.openings.insert(service, record);
+            self.counters.record_table_full += u64::from(!stored);
         }
-        // An older flow without a record here may have one at the other host of the chain, so this
-        // host records it only when that host confirms or corrects the upstream.
+        // A flow without a record here may have one at the other host of the chain, so this host
+        // records it only when that host confirms or corrects the upstream.
         let header = HopHeader {
             stage: HopStage::Replica { verdict: upstream },
             sender: self.local_host,
@@ -117,7 +125,8 @@
     /// packet.
     ///
     /// An existing record of the replica is older than the owner's decision. It therefore takes
-    /// precedence and is sent to the owner as a correction.
+    /// precedence and is sent to the owner as a correction. So does an opening that this host has
+    /// placed as the owner by its own view of the hosts.
     pub(super) fn route_as_replica(
         &mut self,
         context: PacketContext<'_>,
@@ -126,19 +135,19 @@
     ) -> FlowVerdict {
         let service = context.route.service;
         let recorded = self.records.get(service, context.fingerprint);
-        let upstream = recorded.unwrap_or(assigned_upstream);
+        let placed = recorded.or_else(|| self.openings.get(service, context.fingerprint));
+        let upstream = placed.unwrap_or(assigned_upstream);
         if recorded.is_none() {
-            self.store_record(service, context.fingerprint, assigned_upstream);
+            self.openings.remove(service, context.fingerprint);
+            self.store_record(service, context.fingerprint, upstream);
             let snapshot = Arc::clone(&self.snapshot);
-            self.replicate_to_joining_hosts(&snapshot, context, assigned_upstream);
+            self.replicate_to_joining_hosts(&snapshot, context, upstream);
         }
         let is_conflict = upstream != assigned_upstream;
         self.counters.record_conflicts += u64::from(is_conflict);
-        if is_conflict || !context.packet.opens_flow() {
-            let kind = if is_conflict { UpdateKind::Correction } else { UpdateKind::Copy };
-            let lane = self.lane_of_bucket(context.bucket);
-            self.queue_update(context, hop.sender, lane, upstream, kind);
-        }
+        let kind = if is_conflict { UpdateKind::Correction } else { UpdateKind::Copy };
+        let lane = self.lane_of_bucket(context.bucket);
+        self.queue_update(context, hop.sender, lane, upstream, kind);
         self.answer_asking_host(context, &hop, upstream, is_conflict);
         self.deliver_to_upstream(context, upstream)
     }
--- a/crates/mustardgrade-core/src/flow/record_sync.rs
+++ b/crates/mustardgrade-core/src/flow/record_sync.rs
@@ -1,7 +1,7 @@
 //! Exchange of records and settled exceptions between hosts when the placement or the set of hosts
 //! changes.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
 use super::messages::RecordTransfer;
@@ -12,22 +12,34 @@
 use crate::placement::BucketIndex;
 
 impl FlowRouter {
-    /// Returns the records of the selected buckets whose upstream is not the target upstream of the
-    /// bucket; they become settled exceptions when the guard ends.
+    /// Returns the records of `buckets` whose upstream is not the target upstream of the bucket; they
+    /// become settled exceptions when the guard ends.
+    ///
+    /// Returns `None` if this host is outside the owner chain of one of the buckets or routes by an
+    /// older placement than `min_generation`: it may then lack records. A host that asks while it
+    /// does not know all hosts yet computes a wrong chain, and must ask again.
     #[must_use]
-    pub fn deviating_records(
+    pub fn bucket_exceptions(
         &self,
         service: ServiceId,
-        selects_bucket: &dyn Fn(BucketIndex) -> bool,
-    ) -> Vec<BindingRecord> {
-        let Some(route) = self.snapshot.service(service) else {
-            return Vec::new();
+        buckets: &[BucketIndex],
+        min_generation: u64,
+    ) -> Option<Vec<BindingRecord>> {
+        let route = self.snapshot.service(service)?;
+        let keeps_records = |bucket: &BucketIndex| {
+            let chain = self.snapshot.chain(route, *bucket);
+            chain.is_some_and(|chain| chain.contains(self.local_host))
         };
-        self.records.select(service, |record| {
+        if self.snapshot.generation < min_generation || !buckets.iter().all(keeps_records) {
+            return None;
+        }
+        let buckets: HashSet<BucketIndex> = buckets.iter().copied().collect();
+        let exceptions = self.records.select(service, |record| {
             let bucket = route.table.bucket_of(record.fingerprint);
-            selects_bucket(bucket)
+            buckets.contains(&bucket)
                 && route.table.placement_of(bucket).target_upstream != record.upstream
-        })
+        });
+        Some(exceptions)
     }
 
     /// Returns the settled exceptions, and the records of buckets that are guarded only because of
@@ -93,6 +105,7 @@
                 self.exceptions.insert(route.service, record);
             }
             self.records.retain(route.service, |record| !is_steady(record));
+            self.openings.retain(route.service, |record| !is_steady(record));
             self.exceptions.retain(route.service, |record| {
                 route.upstream(record.upstream).is_some_and(|upstream| upstream.accepts_packets)
             });
--- a/crates/mustardgrade-core/src/flow/router.rs
+++ b/crates/mustardgrade-core/src/flow/router.rs
@@ -133,6 +133,9 @@
     pub(super) snapshot: Arc<RoutingSnapshot>,
     pub(super) flow_table: FlowTable,
     pub(super) records: RecordTable,
+    /// Upstreams of openings that this host, as owner, has sent to the replica of their bucket, which
+    /// has not confirmed them yet.
+    pub(super) openings: RecordTable,
     pub(super) exceptions: RecordTable,
     pub(super) guard_epochs: HashMap<ServiceId, Vec<u8>>,
     pub(super) tables_confirmed_at: Duration,
@@ -153,6 +156,7 @@
             snapshot: Arc::new(RoutingSnapshot::default()),
             flow_table: FlowTable::new(options.flow_capacity, options.idle_timeout),
             records: RecordTable::new(options.record_capacity),
+            openings: RecordTable::new(options.record_capacity),
             exceptions: RecordTable::new(options.record_capacity),
             guard_epochs: HashMap::new(),
             tables_confirmed_at: Duration::ZERO,
@@ -257,10 +261,14 @@
         match update.kind {
             UpdateKind::Answer => self.cache_answer(update, now),
             UpdateKind::Correction => {
+                self.openings.remove(update.service, update.fingerprint);
                 self.records.insert(update.service, record);
                 self.cache_answer(update, now);
             }
-            UpdateKind::Copy => self.merge_records(update.service, &[record]),
+            UpdateKind::Copy => {
+                self.openings.remove(update.service, update.fingerprint);
+                self.merge_records(update.service, &[record]);
+            }
         }
     }
 
--- a/crates/mustardgrade-core/src/flow/tests.rs
+++ b/crates/mustardgrade-core/src/flow/tests.rs
@@ -104,10 +104,22 @@
     }
 }
 
+/// Delivers the updates that the routers have queued for each other.
+fn deliver_updates(routers: &mut [FlowRouter; 2]) {
+    let mut updates = Vec::new();
+    for router in routers.iter_mut() {
+        router.take_updates(&mut updates);
+    }
+    for addressed in updates {
+        routers[addressed.to.0 as usize - 1].apply_update(&addressed.update, NOW);
+    }
+}
+
 #[test]
 fn new_flow_is_recorded_at_owner_and_replica_and_old_flow_keeps_its_upstream() {
     let mut routers = routers(collecting_placement());
     let opened = route_to_end(&mut routers, 0, packet(1, true));
+    deliver_updates(&mut routers);
     let records = [routers[0].records().len(), routers[1].records().len()];
     let report = [
         opened,
@@ -201,6 +213,74 @@
     );
 }
 
+/// Returns the index of the router that owns the bucket of the flow from this port.
+fn owner_index(routers: &[FlowRouter; 2], port: u16) -> usize {
+    let fingerprint = packet(port, true).key.fingerprint(FlowOptions::default().fingerprint_seed);
+    let snapshot = routers[0].snapshot();
+    let route = &snapshot.services[0];
+    let chain = snapshot.chain(route, route.table.bucket_of(fingerprint));
+    chain.expect("two hosts are eligible").owner.0 as usize - 1
+}
+
+#[test]
+fn opening_segment_that_the_replica_did_not_get_reaches_it_when_sent_again() {
+    let mut routers = routers(collecting_placement());
+    let owner = owner_index(&routers, 1);
+    let lost = routers[owner].route(&packet(1, true), NOW);
+    assert!(matches!(lost, FlowVerdict::Hop { .. }), "{lost:?}");
+    let sent_again = route_to_end(&mut routers, owner, packet(1, true));
+    assert!(sent_again.ends_with("upstream 1"), "{sent_again}");
+    deliver_updates(&mut routers);
+    assert_eq!([routers[0].records().len(), routers[1].records().len()], [1, 1]);
+}
+
+#[test]
+fn packet_right_after_the_opening_follows_the_record_of_the_replica() {
+    let mut routers = routers(collecting_placement());
+    let owner = owner_index(&routers, 1);
+    let fingerprint = packet(1, true).key.fingerprint(FlowOptions::default().fingerprint_seed);
+    let known_at_replica = BindingRecord { fingerprint, upstream: 0 };
+    routers[1 - owner].merge_records(ServiceId(5), &[known_at_replica]);
+    let opened = route_to_end(&mut routers, owner, packet(1, true));
+    let before_the_correction = route_to_end(&mut routers, owner, packet(1, false));
+    deliver_updates(&mut routers);
+    let after_it = route_to_end(&mut routers, owner, packet(1, false));
+    let paths = [opened, before_the_correction, after_it];
+    assert!(paths.iter().all(|path| path.ends_with("upstream 0")), "{paths:?}");
+}
+
+#[test]
+fn opening_that_a_host_has_placed_prevails_over_a_host_that_also_takes_itself_for_the_owner() {
+    let mut routers = routers(collecting_placement());
+    let owner = owner_index(&routers, 1);
+    let FlowVerdict::Hop { mut header, .. } = routers[owner].route(&packet(1, true), NOW) else {
+        panic!("the owner forwards the opening to the replica");
+    };
+    header.stage = HopStage::Replica { verdict: 0 };
+    let verdict = routers[owner].route_hop(&header, &packet(1, false), NOW);
+    let expected = UpstreamId(1);
+    assert!(matches!(verdict, FlowVerdict::Tunnel { upstream, .. } if upstream == expected));
+}
+
+#[test]
+fn bucket_exceptions_are_declined_by_a_host_that_may_lack_records() {
+    let mut routers = routers(collecting_placement());
+    let buckets: Vec<_> = (0..256).map(crate::placement::BucketIndex).collect();
+    let answer = |router: &FlowRouter, generation| {
+        let exceptions = router.bucket_exceptions(ServiceId(5), &buckets, generation);
+        exceptions.map(|records| records.len())
+    };
+    let in_chain = answer(&routers[0], 1);
+    let older_placement = answer(&routers[0], 2);
+    let mut snapshot_with_third_host = (*snapshot(collecting_placement(), 1)).clone();
+    let mut third_host = snapshot_with_third_host.members[0];
+    third_host.host = HostId(3);
+    snapshot_with_third_host.members.push(third_host);
+    routers[0].install(Arc::new(snapshot_with_third_host));
+    let outside_some_chains = answer(&routers[0], 1);
+    assert_eq!([in_chain, older_placement, outside_some_chains], [Some(0), None, None]);
+}
+
 #[test]
 fn flood_of_opening_segments_does_not_evict_established_flows() {
     let mut table = FlowTable::new(4, Duration::from_secs(300));
--- a/crates/mustardgrade-core/src/membership/controller.rs
+++ b/crates/mustardgrade-core/src/membership/controller.rs
@@ -116,6 +116,13 @@
         /// Buckets whose exceptions are concerned.
         buckets: Vec<BucketIndex>,
     },
+    /// All traffic threads route by a snapshot of this placement and these rules, or a later one.
+    SnapshotInstalled {
+        /// Placement generation of the snapshot.
+        generation: u64,
+        /// Rules revision of the snapshot.
+        rules_revision: u64,
+    },
     /// Every live peer has been asked for the flow records that this host will own.
     RecordsFetched,
     /// The host has been asked to stop.
@@ -136,15 +143,14 @@
     FetchConfiguration(Ipv4Addr),
     /// Fetch all settled exceptions that a peer knows.
     FetchAllExceptions(Ipv4Addr),
-    /// Fetch the settled exceptions of buckets from their owner, which may be the local host.
+    /// Fetch the settled exceptions of buckets from every host that keeps their records. A host that
+    /// has just become owner may know a record only by way of its replica.
     FetchBucketExceptions {
-        /// Host that owns the buckets.
-        owner: HostId,
-        /// Address of the owner.
-        address: Ipv4Addr,
+        /// Owner and replica of the buckets, one of which may be the local host.
+        keepers: Vec<RecordKeeper>,
         /// Service to which the buckets belong.
         service: ServiceId,
-        /// Minimum placement generation of the owner; answers from an older one must be discarded.
+        /// Minimum placement generation of the answers.
         generation: u64,
         /// Buckets whose exceptions are concerned.
         buckets: Vec<BucketIndex>,
@@ -164,6 +170,15 @@
     Exit,
 }
 
+/// `RecordKeeper` is a host that keeps the records of a bucket, as its owner or replica.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RecordKeeper {
+    /// Identity of the host.
+    pub host: HostId,
+    /// Address of the host.
+    pub address: Ipv4Addr,
+}
+
 /// `JoinStep` is the progress of a host that joins.
 ///
 /// Durations are the active time of the member table at the start of the step.
@@ -242,6 +257,10 @@
     pub(super) has_settling_buckets: bool,
     /// Highest placement generation for which all settled exceptions are installed.
     pub(super) settled_generation: u64,
+    /// Highest placement generation by which all traffic threads route.
+    pub(super) routed_generation: u64,
+    /// Highest rules revision by which all traffic threads route.
+    pub(super) routed_revision: u64,
     pub(super) digest_sequence: u64,
     pub(super) join_step: JoinStep,
     pub(super) leave_step: LeaveStep,
@@ -280,6 +299,8 @@
             partition_recovery: None,
             has_settling_buckets: false,
             settled_generation: 0,
+            routed_generation: 0,
+            routed_revision: 0,
             digest_sequence: 0,
             join_step: JoinStep::FetchingConfiguration,
             leave_step: LeaveStep::NotLeaving,
@@ -337,8 +358,8 @@
             state: self.state(),
             data_centre: self.options.data_centre,
             address: self.options.address,
-            rules_revision: self.rules.as_ref().map_or(0, |rules| rules.revision),
-            generation: self.placement.generation,
+            rules_revision: self.routed_revision,
+            generation: self.routed_generation,
             settled_generation: self.settled_generation,
             view_hash: 0,
         };
@@ -402,6 +423,9 @@
             ControllerInput::BucketExceptionsFetched { service, generation, buckets } => {
                 self.complete_bucket_fetch(service, generation, &buckets);
             }
+            ControllerInput::SnapshotInstalled { generation, rules_revision } => {
+                self.record_installed_snapshot(generation, rules_revision);
+            }
             ControllerInput::RecordsFetched => {
                 if self.join_step == JoinStep::FetchingRecords {
                     self.join_step = JoinStep::Joined;
@@ -505,6 +529,14 @@
         self.update_settled_generation();
     }
 
+    /// Notes that the traffic threads route by a snapshot. Digests report a placement and rules only
+    /// from then on, since other hosts take the report as leave to act on them.
+    pub(super) fn record_installed_snapshot(&mut self, generation: u64, rules_revision: u64) {
+        self.routed_generation = self.routed_generation.max(generation);
+        self.routed_revision = self.routed_revision.max(rules_revision);
+        self.has_pending_changes = true;
+    }
+
     /// Updates everything that depends on the changed state, and sends a digest if the state,
     /// revision or generations that it reports have changed.
     pub(super) fn process_changes(
--- a/crates/mustardgrade-core/src/membership/lifecycle.rs
+++ b/crates/mustardgrade-core/src/membership/lifecycle.rs
@@ -35,6 +35,8 @@
     /// Starts to collect the exceptions that other hosts recorded during a partition.
     pub(super) fn start_partition_recovery(&mut self) {
         self.has_all_exceptions = false;
+        // Peers must not take over exceptions from this host, nor end moves, until it has caught up.
+        self.settled_generation = 0;
         let since = self.members.active_time();
         self.partition_recovery =
             Some(PartitionRecovery { since, fetch_started: false, pending_peers: BTreeSet::new() });
@@ -172,11 +174,12 @@
         }
     }
 
-    /// Returns the address of a serving peer whose placement is not older than the local one; the
-    /// choice rotates with the sequence number of the digests.
+    /// Returns the address of a serving peer that has all settled exceptions of the local placement;
+    /// the choice rotates with the sequence number of the digests.
     pub(super) fn next_serving_peer(&self) -> Option<Ipv4Addr> {
         let is_eligible = |digest: &&HostDigest| {
-            digest.state == HostState::Serving && digest.generation >= self.placement.generation
+            digest.state == HostState::Serving
+                && digest.settled_generation >= self.placement.generation
         };
         let digests = self.members.live_members().map(|member| &member.digest).filter(is_eligible);
         let addresses: Vec<Ipv4Addr> = digests.map(|digest| digest.address).collect();
--- a/crates/mustardgrade-core/src/membership/mod.rs
+++ b/crates/mustardgrade-core/src/membership/mod.rs
@@ -13,7 +13,7 @@
 
 pub use controller::{
     ControllerInput, ControllerOptions, ControllerOutput, HostController, PeerConfiguration,
-    StoredPlacement, StoredRules,
+    RecordKeeper, StoredPlacement, StoredRules,
 };
 pub use digest::{HostDigest, HostState};
 pub use member::{KnownHost, ListedHost, MemberTable, MemberTableOptions};
--- a/crates/mustardgrade-core/src/membership/settling.rs
+++ b/crates/mustardgrade-core/src/membership/settling.rs
@@ -7,9 +7,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::controller::{ControllerOutput, FETCH_RETRY_INTERVAL, HostController};
-use crate::flow::PlacementMode;
-use crate::identity::{HostId, ServiceId};
+use super::controller::{ControllerOutput, FETCH_RETRY_INTERVAL, HostController, RecordKeeper};
+use crate::flow::{PlacementMode, RoutingSnapshot};
+use crate::identity::ServiceId;
 use crate::placement::{BucketIndex, BucketPhase, PlacementMap};
 
 impl HostController {
@@ -97,7 +97,24 @@
         let Some(snapshot) = self.last_snapshot.clone().filter(|_| retry_due) else {
             return;
         };
-        let mut buckets_by_owner: BTreeMap<(HostId, ServiceId), Vec<BucketIndex>> = BTreeMap::new();
+        let buckets_by_keepers = self.uncovered_buckets_by_keepers(&snapshot);
+        if buckets_by_keepers.is_empty() {
+            self.update_settled_generation();
+            return;
+        }
+        self.last_bucket_fetch_at = Some(now);
+        let generation = self.placement.generation;
+        outputs.extend(buckets_by_keepers.into_iter().map(|((keepers, service), buckets)| {
+            ControllerOutput::FetchBucketExceptions { keepers, service, generation, buckets }
+        }));
+    }
+
+    /// Groups the settling buckets whose exceptions are missing by the hosts that keep their records.
+    fn uncovered_buckets_by_keepers(
+        &self,
+        snapshot: &RoutingSnapshot,
+    ) -> BTreeMap<(Vec<RecordKeeper>, ServiceId), Vec<BucketIndex>> {
+        let mut buckets_by_keepers: BTreeMap<_, Vec<BucketIndex>> = BTreeMap::new();
         for (service, bucket) in self.uncovered_buckets() {
             let Some(route) = snapshot.service(service) else {
                 continue;
@@ -105,25 +122,13 @@
             let Some(chain) = snapshot.chain(route, bucket) else {
                 continue;
             };
-            buckets_by_owner.entry((chain.owner, service)).or_default().push(bucket);
-        }
-        if buckets_by_owner.is_empty() {
-            self.update_settled_generation();
-            return;
-        }
-        self.last_bucket_fetch_at = Some(now);
-        for ((owner, service), buckets) in buckets_by_owner {
-            let Some(address) = snapshot.host_address(owner) else {
-                continue;
+            let keeper = |host| {
+                let address = snapshot.host_address(host)?;
+                Some(RecordKeeper { host, address })
             };
-            let generation = self.placement.generation;
-            outputs.push(ControllerOutput::FetchBucketExceptions {
-                owner,
-                address,
-                service,
-                generation,
-                buckets,
-            });
+            let keepers: Vec<RecordKeeper> = chain.hosts().filter_map(keeper).collect();
+            buckets_by_keepers.entry((keepers, service)).or_default().push(bucket);
         }
+        buckets_by_keepers
     }
 }
--- a/crates/mustardgrade-core/src/membership/tests.rs
+++ b/crates/mustardgrade-core/src/membership/tests.rs
@@ -1,10 +1,14 @@
-//! Tests of the member table.
+//! Tests of the member table, and of what a host reports to others.
 
 use std::net::Ipv4Addr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use super::*;
+use crate::flow::PlacementMode;
 use crate::identity::{DataCentreId, HostId, HostIncarnation};
+use crate::placement::{PlacementMap, PlannerOptions};
+use crate::rule::RuleSet;
 
 const DATA_CENTRE: DataCentreId = DataCentreId(1);
 
@@ -97,3 +101,35 @@
     table.set_listed_hosts(vec![listed_host(1, false), listed_host(2, false)]);
     assert!(table.apply_progress(&digest(1, 1, 1)).has_silent_listed_host);
 }
+
+#[test]
+fn digest_reports_rules_and_placement_only_when_packets_are_routed_by_them() {
+    let mut controller = HostController::new(ControllerOptions {
+        local_incarnation: HostIncarnation { host: HostId(1), incarnation: 1 },
+        address: Ipv4Addr::new(10, 0, 0, 1),
+        data_centre: DATA_CENTRE,
+        seeds: Vec::new(),
+        placement_mode: PlacementMode::Guarded,
+        member_table: MemberTableOptions::default(),
+        planner: PlannerOptions::default(),
+    });
+    let rules = StoredRules { revision: 4, rule_set: Arc::new(RuleSet::default()) };
+    let placement = PlacementMap { generation: 7, rules_revision: 4, tables: Vec::new() };
+    let mut outputs = Vec::new();
+    let now = Duration::from_secs(1);
+    controller.handle(ControllerInput::RulesReceived(rules), now, &mut outputs);
+    controller.handle(ControllerInput::PlacementReceived(Arc::new(placement)), now, &mut outputs);
+    let mut snapshots = outputs.iter().filter_map(|output| match output {
+        ControllerOutput::InstallSnapshot(snapshot) => Some(snapshot.generation),
+        _ => None,
+    });
+    assert_eq!(snapshots.next_back(), Some(7), "the traffic threads get the snapshot at once");
+    let reported = |controller: &HostController| {
+        let digest = controller.digest();
+        (digest.rules_revision, digest.generation)
+    };
+    assert_eq!(reported(&controller), (0, 0));
+    let installed = ControllerInput::SnapshotInstalled { generation: 7, rules_revision: 4 };
+    controller.handle(installed, now, &mut outputs);
+    assert_eq!(reported(&controller), (4, 7));
+}
--- a/crates/mustardgrade-node/src/control/effects.rs
+++ b/crates/mustardgrade-node/src/control/effects.rs
@@ -7,9 +7,9 @@
 
 use kameo::actor::ActorRef;
 use mustardgrade_core::flow::RoutingSnapshot;
-use mustardgrade_core::identity::{HostId, ServiceId};
-use mustardgrade_core::membership::{ControllerInput, ControllerOutput, HostDigest};
-use mustardgrade_core::placement::{BucketIndex, PlacementMap};
+use mustardgrade_core::identity::HostId;
+use mustardgrade_core::membership::{ControllerInput, ControllerOutput, HostDigest, RecordKeeper};
+use mustardgrade_core::placement::PlacementMap;
 use mustardgrade_wire::peer::{DigestBody, PeerCall, PeerMessage, PeerReply, ServiceRecordList};
 use tokio::sync::{mpsc, oneshot};
 
@@ -19,7 +19,7 @@
 use crate::store::{
     PLACEMENT_KEY, RULES_KEY, RulesDocument, StoreClient, decode_placement, encode_placement,
 };
-use crate::traffic::{BucketExceptions, TrafficCommand};
+use crate::traffic::{BucketExceptionsRequest, TrafficCommand};
 
 impl ControlActor {
     /// Performs one output of the controller.
@@ -36,23 +36,19 @@
             ControllerOutput::FetchAllExceptions(address) => {
                 self.fetch_all_exceptions(address, actor_ref)
             }
-            ControllerOutput::FetchBucketExceptions {
-                owner,
-                address,
-                service,
-                generation,
-                buckets,
-            } => {
-                self.fetch_bucket_exceptions(
-                    owner, address, service, generation, buckets, actor_ref,
-                );
+            ControllerOutput::FetchBucketExceptions { keepers, service, generation, buckets } => {
+                let request =
+                    BucketExceptionsRequest { service, buckets, min_generation: generation };
+                self.fetch_bucket_exceptions(keepers, request, actor_ref);
             }
             ControllerOutput::FetchRecords(addresses) => self.fetch_records(addresses, actor_ref),
             ControllerOutput::ReadStore => self.read_store(actor_ref),
             ControllerOutput::WritePlacement(placement) => {
                 self.write_placement(placement, actor_ref)
             }
-            ControllerOutput::InstallSnapshot(snapshot) => self.install_snapshot(snapshot),
+            ControllerOutput::InstallSnapshot(snapshot) => {
+                self.install_snapshot(snapshot, actor_ref)
+            }
             ControllerOutput::SetTablesConfirmedAt(at) => {
                 self.resources.traffic_state.tables_confirmed_at.set(at)
             }
@@ -62,14 +58,27 @@
         }
     }
 
-    fn install_snapshot(&mut self, snapshot: Arc<RoutingSnapshot>) {
+    /// Publishes a snapshot to the traffic threads, and tells the controller once all of them route
+    /// by it.
+    fn install_snapshot(&mut self, snapshot: Arc<RoutingSnapshot>, actor_ref: &ActorRef<Self>) {
         log::debug!(
             generation = snapshot.generation,
             rules_revision = snapshot.rules_revision,
             members = snapshot.members.len();
             "routing snapshot installed"
         );
+        let input = ControllerInput::SnapshotInstalled {
+            generation: snapshot.generation,
+            rules_revision: snapshot.rules_revision,
+        };
         self.resources.traffic_state.routing_snapshot.store(snapshot);
+        let traffic_threads = self.resources.traffic_threads.clone();
+        let actor_ref = actor_ref.clone();
+        tokio::spawn(async move {
+            if confirm_on_all(&traffic_threads, TrafficCommand::ConfirmSnapshot).await {
+                let _result = actor_ref.tell(input).await;
+            }
+        });
     }
 
     fn send_digest(&mut self, recipients: &[Ipv4Addr], digest: &HostDigest) {
@@ -121,42 +130,43 @@
             let Ok(PeerReply::Records { generation, record_lists }) = reply else {
                 return;
             };
-            install_exceptions(&traffic_threads, record_lists).await;
+            if !install_exceptions(&traffic_threads, record_lists).await {
+                return;
+            }
             let input = ControllerInput::AllExceptionsFetched { peer: address, generation };
             let _result = actor_ref.tell(input).await;
         });
     }
 
+    /// Fetches the exceptions of buckets from all hosts that keep their records; the fetch succeeds
+    /// only if each of them answers.
     fn fetch_bucket_exceptions(
         &self,
-        owner: HostId,
-        address: Ipv4Addr,
-        service: ServiceId,
-        min_generation: u64,
-        buckets: Vec<BucketIndex>,
+        keepers: Vec<RecordKeeper>,
+        request: BucketExceptionsRequest,
         actor_ref: &ActorRef<Self>,
     ) {
         let call_client = self.resources.call_client.clone();
         let traffic_threads = self.resources.traffic_threads.clone();
-        let is_local = owner == HostId::from_name(&self.resources.settings.name);
+        let local_host = HostId::from_name(&self.resources.settings.name);
         let actor_ref = actor_ref.clone();
         tokio::spawn(async move {
-            let call = PeerCall::BucketExceptions { service, buckets: buckets.clone() };
-            let reply = match is_local {
-                true => bucket_exceptions_reply(&traffic_threads, service, buckets.clone()).await,
-                false => call_client.call(address, &call).await.unwrap_or(PeerReply::Declined),
-            };
-            let PeerReply::Records { generation: owner_generation, record_lists } = reply else {
-                return;
-            };
-            if owner_generation < min_generation {
-                return;
+            for keeper in keepers {
+                let reply = match keeper.host == local_host {
+                    true => bucket_exceptions_reply(&traffic_threads, request.clone()).await,
+                    false => call_bucket_exceptions(&call_client, keeper.address, &request).await,
+                };
+                let PeerReply::Records { record_lists, .. } = reply else {
+                    return;
+                };
+                if !install_exceptions(&traffic_threads, record_lists).await {
+                    return;
+                }
             }
-            install_exceptions(&traffic_threads, record_lists).await;
             let input = ControllerInput::BucketExceptionsFetched {
-                service,
-                generation: owner_generation,
-                buckets,
+                service: request.service,
+                generation: request.min_generation,
+                buckets: request.buckets,
             };
             let _result = actor_ref.tell(input).await;
         });
@@ -246,17 +256,54 @@
     }
 }
 
-/// Sends settled exceptions to all traffic threads.
+async fn call_bucket_exceptions(
+    call_client: &CallClient,
+    address: Ipv4Addr,
+    request: &BucketExceptionsRequest,
+) -> PeerReply {
+    let call = PeerCall::BucketExceptions {
+        service: request.service,
+        buckets: request.buckets.clone(),
+        min_generation: request.min_generation,
+    };
+    call_client.call(address, &call).await.unwrap_or(PeerReply::Declined)
+}
+
+/// Installs settled exceptions on all traffic threads, and returns whether all route by them.
 ///
-/// Every thread needs all exceptions, since any of them may receive a packet of the flow.
+/// Every thread needs all exceptions, since any of them may receive a packet of the flow. Once this
+/// host reports the exceptions, the move may end; a thread that took over the next snapshot before
+/// them would then misroute the flows.
 async fn install_exceptions(
     traffic_threads: &[mpsc::Sender<TrafficCommand>],
     record_lists: Vec<ServiceRecordList>,
-) {
+) -> bool {
+    let make_command = |done_sender| TrafficCommand::InstallExceptions {
+        record_lists: record_lists.clone(),
+        done_sender,
+    };
+    confirm_on_all(traffic_threads, make_command).await
+}
+
+/// Sends a command to all traffic threads, and returns whether all have carried it out.
+async fn confirm_on_all(
+    traffic_threads: &[mpsc::Sender<TrafficCommand>],
+    make_command: impl Fn(oneshot::Sender<()>) -> TrafficCommand,
+) -> bool {
+    let mut receivers = Vec::with_capacity(traffic_threads.len());
     for traffic_thread in traffic_threads {
-        let _result =
-            traffic_thread.send(TrafficCommand::InstallExceptions(record_lists.clone())).await;
+        let (done_sender, done_receiver) = oneshot::channel();
+        if traffic_thread.send(make_command(done_sender)).await.is_err() {
+            return false;
+        }
+        receivers.push(done_receiver);
     }
+    for receiver in receivers {
+        if receiver.await.is_err() {
+            return false;
+        }
+    }
+    true
 }
 
 /// Sends records to all traffic threads; each record is only looked up by the thread to which its
@@ -270,35 +317,27 @@
     }
 }
 
-/// Collects the settled exceptions of buckets from all traffic threads.
-///
-/// The reply states the lowest placement generation in force on any of them.
+/// Collects the settled exceptions of buckets from all traffic threads; declines if one of them may
+/// lack some.
 pub(super) async fn bucket_exceptions_reply(
     traffic_threads: &[mpsc::Sender<TrafficCommand>],
-    service: ServiceId,
-    buckets: Vec<BucketIndex>,
+    request: BucketExceptionsRequest,
 ) -> PeerReply {
-    let mut generation = u64::MAX;
     let mut records = Vec::new();
     for traffic_thread in traffic_threads {
         let (reply_sender, reply_receiver) = oneshot::channel();
-        let command = TrafficCommand::ListBucketExceptions {
-            service,
-            buckets: buckets.clone(),
-            reply_sender,
-        };
+        let command =
+            TrafficCommand::ListBucketExceptions { request: request.clone(), reply_sender };
         if traffic_thread.send(command).await.is_err() {
             return PeerReply::Declined;
         }
-        let Ok(BucketExceptions { generation: thread_generation, records: thread_records }) =
-            reply_receiver.await
-        else {
+        let Ok(Some(thread_records)) = reply_receiver.await else {
             return PeerReply::Declined;
         };
-        generation = generation.min(thread_generation);
         records.extend(thread_records);
     }
-    PeerReply::Records { generation, record_lists: vec![ServiceRecordList { service, records }] }
+    let record_list = ServiceRecordList { service: request.service, records };
+    PeerReply::Records { generation: request.min_generation, record_lists: vec![record_list] }
 }
 
 /// Sends records to a host that has joined the owner chain of their buckets.
--- a/crates/mustardgrade-node/src/control/tasks.rs
+++ b/crates/mustardgrade-node/src/control/tasks.rs
@@ -20,7 +20,7 @@
 use crate::calls::{CallClient, IncomingCall, serve_calls};
 use crate::metrics::HostMetrics;
 use crate::store::{PLACEMENT_KEY, RULES_KEY, ReadReply, StoreClient};
-use crate::traffic::{SharedTrafficState, TrafficCommand};
+use crate::traffic::{BucketExceptionsRequest, SharedTrafficState, TrafficCommand};
 
 /// Interval between two ticks of the controller.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -222,8 +222,9 @@
 ) -> PeerReply {
     match call {
         PeerCall::Configuration => configuration_reply(actor).await,
-        PeerCall::BucketExceptions { service, buckets } => {
-            bucket_exceptions_reply(traffic_threads, service, buckets).await
+        PeerCall::BucketExceptions { service, buckets, min_generation } => {
+            let request = BucketExceptionsRequest { service, buckets, min_generation };
+            bucket_exceptions_reply(traffic_threads, request).await
         }
         PeerCall::AllExceptions => all_exceptions_reply(actor, traffic_threads).await,
         PeerCall::Records { host } => {
@@ -231,7 +232,10 @@
                 TrafficCommand::ListRecordsForHost { host, reply_sender }
             })
             .await;
-            PeerReply::Records { generation: 0, record_lists }
+            match record_lists {
+                Some(record_lists) => PeerReply::Records { generation: 0, record_lists },
+                None => PeerReply::Declined,
+            }
         }
         PeerCall::TransferRecords { service, records } => {
             merge_records(traffic_threads, vec![ServiceRecordList { service, records }]).await;
@@ -271,29 +275,26 @@
     // exceptions that are settled in between are included as well.
     let Ok(reply) = actor.ask(GetConfiguration).await else { return PeerReply::Declined };
     let generation = reply.configuration.placement.map_or(0, |placement| placement.generation);
-    let Some(traffic_thread) = traffic_threads.first() else { return PeerReply::Declined };
-    let (reply_sender, reply_receiver) = oneshot::channel();
-    if traffic_thread.send(TrafficCommand::ListAllExceptions(reply_sender)).await.is_err() {
-        return PeerReply::Declined;
-    }
-    match reply_receiver.await {
-        Ok(record_lists) => PeerReply::Records { generation, record_lists },
-        Err(_) => PeerReply::Declined,
+    // Exceptions are the same on all threads, but each thread records flows of its own buckets.
+    match collect_record_lists(traffic_threads, TrafficCommand::ListAllExceptions).await {
+        Some(record_lists) => PeerReply::Records { generation, record_lists },
+        None => PeerReply::Declined,
     }
 }
 
+/// Collects the answers of all traffic threads; returns `None` if one of them has ended, since its
+/// records would be missing.
 async fn collect_record_lists(
     traffic_threads: &[mpsc::Sender<TrafficCommand>],
     make_command: impl Fn(oneshot::Sender<Vec<ServiceRecordList>>) -> TrafficCommand,
-) -> Vec<ServiceRecordList> {
+) -> Option<Vec<ServiceRecordList>> {
     let mut record_lists = Vec::new();
     for traffic_thread in traffic_threads {
         let (reply_sender, reply_receiver) = oneshot::channel();
-        if traffic_thread.send(make_command(reply_sender)).await.is_ok() {
-            record_lists.extend(reply_receiver.await.unwrap_or_default());
-        }
+        traffic_thread.send(make_command(reply_sender)).await.ok()?;
+        record_lists.extend(reply_receiver.await.ok()?);
     }
-    record_lists
+    Some(record_lists)
 }
 
 /// Starts a task that sends the records queued by traffic threads to the hosts that have joined the
--- a/crates/mustardgrade-node/src/traffic/mod.rs
+++ b/crates/mustardgrade-node/src/traffic/mod.rs
@@ -7,6 +7,6 @@
 pub use shared::{AtomicTime, SharedTrafficState};
 pub use socket::{bind_udp, bind_udp_reuse_port};
 pub use thread::{
-    BucketExceptions, TrafficCommand, TrafficThreadChannels, TrafficThreadSettings,
-    spawn_traffic_thread,
+    BucketExceptionsRequest, PACKET_LOG_TARGET, TrafficCommand, TrafficThreadChannels,
+    TrafficThreadSettings, spawn_traffic_thread,
 };
--- a/crates/mustardgrade-node/src/traffic/thread.rs
+++ b/crates/mustardgrade-node/src/traffic/thread.rs
@@ -42,6 +42,9 @@
 /// Maximum number of updates in a frame; more would not fit into a datagram.
 const MAX_UPDATES_PER_FRAME: usize = 32;
 
+/// Log target of the lines about single packets; they are written at level trace only.
+pub const PACKET_LOG_TARGET: &str = "mustardgrade_node::packets";
+
 /// `TrafficThreadSettings` are the settings of one traffic thread.
 #[derive(Debug, Clone)]
 pub struct TrafficThreadSettings {
@@ -65,19 +68,23 @@
     /// Add records received from another host; existing records of the same flows are retained.
     MergeRecords(Vec<ServiceRecordList>),
     /// Store settled exceptions, replacing earlier ones of the same flows.
-    InstallExceptions(Vec<ServiceRecordList>),
+    InstallExceptions {
+        /// Exceptions by service.
+        record_lists: Vec<ServiceRecordList>,
+        /// Confirms that packets are routed by the exceptions.
+        done_sender: oneshot::Sender<()>,
+    },
+    /// Confirm that packets are routed by the latest routing snapshot.
+    ConfirmSnapshot(oneshot::Sender<()>),
     /// Return all settled exceptions, and the records of buckets that are guarded only because of
     /// a network partition, by service.
     ListAllExceptions(oneshot::Sender<Vec<ServiceRecordList>>),
-    /// Return the records of the given buckets whose upstream is not the target upstream of the
-    /// bucket; they become settled exceptions when the guard ends.
+    /// Return the settled exceptions of buckets, or `None` if this host may lack some of them.
     ListBucketExceptions {
-        /// Service to which the buckets belong.
-        service: ServiceId,
-        /// Buckets whose exceptions are concerned.
-        buckets: Vec<BucketIndex>,
-        /// Channel for the exceptions and their placement generation.
-        reply_sender: oneshot::Sender<BucketExceptions>,
+        /// Service and buckets concerned, and the minimum placement generation.
+        request: BucketExceptionsRequest,
+        /// Channel for the exceptions.
+        reply_sender: oneshot::Sender<Option<Vec<BindingRecord>>>,
     },
     /// Return the records of all buckets whose owner chain a host may enter, by service.
     ListRecordsForHost {
@@ -88,13 +95,15 @@
     },
 }
 
-/// `BucketExceptions` are the settled exceptions of buckets on one traffic thread.
-#[derive(Debug)]
-pub struct BucketExceptions {
-    /// Placement generation in force on the thread.
-    pub generation: u64,
-    /// Records of flows that do not belong to the target upstream of their bucket.
-    pub records: Vec<BindingRecord>,
+/// `BucketExceptionsRequest` names the buckets whose settled exceptions a host asks for.
+#[derive(Debug, Clone)]
+pub struct BucketExceptionsRequest {
+    /// Service to which the buckets belong.
+    pub service: ServiceId,
+    /// Buckets whose exceptions are concerned.
+    pub buckets: Vec<BucketIndex>,
+    /// Minimum placement generation of the answer.
+    pub min_generation: u64,
 }
 
 /// `TrafficThreadChannels` connect a traffic thread to the other threads of the host.
@@ -124,9 +133,11 @@
 ) -> std::io::Result<JoinHandle<()>> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let runtime_guard = runtime.enter();
-    let fabric_socket = bind_udp_reuse_port(settings.address, settings.ports.gue)?;
+    // The exclusive port comes first: a second process on this address must fail before it joins
+    // the sockets of the fabric's port, or it would take packets away from the running host.
     let hop_port = settings.ports.hop + u16::from(settings.options.lane);
     let peer_socket = bind_udp(settings.address, hop_port)?;
+    let fabric_socket = bind_udp_reuse_port(settings.address, settings.ports.gue)?;
     drop(runtime_guard);
     let name = format!("lane-{}", settings.options.lane);
     std::thread::Builder::new().name(name).spawn(move || {
@@ -201,6 +212,14 @@
     fn refresh_snapshot(&mut self) {
         let snapshot = self.traffic_state.routing_snapshot.load();
         if !Arc::ptr_eq(&snapshot, &self.installed_snapshot) {
+            log::trace!(
+                target: PACKET_LOG_TARGET,
+                host:% = self.settings.address,
+                generation = snapshot.generation,
+                rules_revision = snapshot.rules_revision,
+                exceptions = self.router.exceptions().len();
+                "routing snapshot taken over"
+            );
             self.installed_snapshot = Arc::clone(&snapshot);
             self.router.install(Arc::clone(&snapshot));
             self.packet_sizes = packet_size_histograms(&snapshot, &self.metrics);
@@ -276,6 +295,7 @@
     }
 
     fn perform_verdict(&mut self, verdict: FlowVerdict, segment: &FlowPacket, packet: &[u8]) {
+        self.trace_verdict(verdict, segment);
         match verdict {
             FlowVerdict::Tunnel { address, .. } => {
                 let destination = SocketAddrV4::new(address, self.settings.ports.gue);
@@ -295,6 +315,30 @@
         }
     }
 
+    /// Writes a log line for one packet, from which a lost flow can be followed over all hosts.
+    fn trace_verdict(&self, verdict: FlowVerdict, segment: &FlowPacket) {
+        log::trace!(
+            target: PACKET_LOG_TARGET,
+            host:% = self.settings.address,
+            flow:% = segment.key,
+            opens = segment.opens_flow(),
+            generation = self.installed_snapshot.generation,
+            rules_revision = self.installed_snapshot.rules_revision,
+            verdict:? = verdict;
+            "packet"
+        );
+    }
+
+    fn trace_exceptions(&self, record_lists: &[ServiceRecordList]) {
+        log::trace!(
+            target: PACKET_LOG_TARGET,
+            host:% = self.settings.address,
+            generation = self.installed_snapshot.generation,
+            records = record_lists.iter().map(|list| list.records.len()).sum::<usize>();
+            "exceptions installed"
+        );
+    }
+
     fn send_encapsulated(&mut self, packet: &[u8], destination: SocketAddrV4) {
         self.send_buffer.clear();
         gue::encapsulate(packet, &mut self.send_buffer);
@@ -364,10 +408,15 @@
                     self.router.merge_records(list.service, &list.records);
                 }
             }
-            TrafficCommand::InstallExceptions(lists) => {
-                for list in lists {
+            TrafficCommand::InstallExceptions { record_lists, done_sender } => {
+                self.trace_exceptions(&record_lists);
+                for list in record_lists {
                     self.router.install_exceptions(list.service, &list.records);
                 }
+                let _result = done_sender.send(());
+            }
+            TrafficCommand::ConfirmSnapshot(done_sender) => {
+                let _result = done_sender.send(());
             }
             TrafficCommand::ListAllExceptions(reply_sender) => {
                 let services = self.installed_snapshot.services.iter().map(|route| route.service);
@@ -377,12 +426,13 @@
                 };
                 let _result = reply_sender.send(services.map(list).collect());
             }
-            TrafficCommand::ListBucketExceptions { service, buckets, reply_sender } => {
-                let buckets: std::collections::HashSet<BucketIndex> = buckets.into_iter().collect();
-                let records =
-                    self.router.deviating_records(service, &|bucket| buckets.contains(&bucket));
-                let generation = self.installed_snapshot.generation;
-                let _result = reply_sender.send(BucketExceptions { generation, records });
+            TrafficCommand::ListBucketExceptions { request, reply_sender } => {
+                let records = self.router.bucket_exceptions(
+                    request.service,
+                    &request.buckets,
+                    request.min_generation,
+                );
+                let _result = reply_sender.send(records);
             }
             TrafficCommand::ListRecordsForHost { host, reply_sender } => {
                 let services = self.router.records().services();
--- a/crates/mustardgrade-standin/src/scenario/grammar.rs
+++ b/crates/mustardgrade-standin/src/scenario/grammar.rs
@@ -270,6 +270,7 @@
             };
         }
         "collect" => options.collecting_duration = cursor.expect_duration("collecting time")?,
+        "thread-lag" => options.max_thread_lag = cursor.expect_duration("thread lag")?,
         "echo" => {
             let value_token = cursor.expect_token("'on' or 'off'")?;
             options.wait_for_acknowledgement = match value_token.text.as_str() {
@@ -282,7 +283,8 @@
             };
         }
         other => {
-            let known_options = ["placement", "method", "collect", "echo", "fabric"].into_iter();
+            let known_options =
+                ["placement", "method", "collect", "thread-lag", "echo", "fabric"].into_iter();
             return Err(cursor
                 .error_at(&option_token, unknown_word_message("option", other, known_options)));
         }
--- a/crates/mustardgrade-standin/src/scenario/model.rs
+++ b/crates/mustardgrade-standin/src/scenario/model.rs
@@ -95,6 +95,9 @@
     /// Duration of the collecting phase of a bucket that moves; flows without a packet for this
     /// time are considered closed.
     pub collecting_duration: Duration,
+    /// Maximum time until the traffic threads of a host carry out what its controller has decided;
+    /// each decision takes a random time up to it.
+    pub max_thread_lag: Duration,
     /// Whether announced moves wait until all hosts have acknowledged them. Disabled only to show
     /// that flows break without it.
     pub wait_for_acknowledgement: bool,
@@ -108,6 +111,7 @@
             fabric_sprays: false,
             assign_method: AssignMethod::Bounded,
             collecting_duration: Duration::from_secs(60),
+            max_thread_lag: Duration::ZERO,
             wait_for_acknowledgement: true,
         }
     }
--- a/crates/mustardgrade-standin/src/trial/errors.rs
+++ b/crates/mustardgrade-standin/src/trial/errors.rs
@@ -29,4 +29,10 @@
     /// Not all hosts were serving within this many seconds.
     #[error("not all hosts were serving after {0} s")]
     StartTimeout(u64),
+    /// Other trials on this machine use all address ranges.
+    #[error("{0} trials run on this machine already; wait until one of them has ended")]
+    NoFreeAddresses(u8),
+    /// An upstream's address cannot be moved out of the way of another trial.
+    #[error("another trial runs on this machine, and upstream address {0} cannot be moved for it")]
+    AddressOutOfRange(std::net::Ipv4Addr),
 }
--- a/crates/mustardgrade-standin/src/trial/run.rs
+++ b/crates/mustardgrade-standin/src/trial/run.rs
@@ -10,6 +10,7 @@
 use mustardgrade_core::rule::{DataCentreState, RuleSet, UpstreamState, parse_rules};
 use mustardgrade_node::metrics::SentByteKind;
 
+use super::addresses::LoopbackRange;
 use super::errors::{Result, TrialError};
 use super::report::TrialReport;
 use super::setup::{RunningHost, TrialEnvironment};
@@ -34,8 +35,6 @@
     pub placement_mode: PlacementMode,
     /// Number of feeds that callers keep open.
     pub feed_count: usize,
-    /// Second octet of the loopback addresses of platform, fabric, hosts and callers.
-    pub loopback_second_octet: u8,
 }
 
 /// `TrialStage` is a stage of a trial; its text is shown as progress.
@@ -87,12 +86,12 @@
     options: &TrialOptions,
     progress: &dyn Fn(TrialStage),
 ) -> Result<TrialReport> {
-    let rules = parse_rules(&options.rules_text)?;
+    let mut rules = parse_rules(&options.rules_text)?;
     let started_at = Instant::now();
     progress(TrialStage::StartHosts);
-    let environment =
-        TrialEnvironment::start(options.loopback_second_octet, options.placement_mode, &rules)
-            .await?;
+    let addresses = LoopbackRange::reserve()?;
+    addresses.move_upstreams(&mut rules)?;
+    let environment = TrialEnvironment::start(addresses, options.placement_mode, &rules).await?;
     let mut trial = Trial { environment, rules, report: TrialReport::default() };
     trial.report.placement_mode = options.placement_mode.to_string();
     trial.start_hosts().await?;
@@ -129,7 +128,7 @@
             for number in 1..=HOSTS_PER_DATA_CENTRE {
                 let address = Ipv4Addr::new(
                     127,
-                    self.environment.loopback_second_octet,
+                    self.environment.addresses.second_octet(),
                     1 + index as u8,
                     number,
                 );
--- a/crates/mustardgrade-standin/src/trial/setup.rs
+++ b/crates/mustardgrade-standin/src/trial/setup.rs
@@ -11,6 +11,7 @@
 use mustardgrade_node::store::{RULES_KEY, RulesDocument, StoreClient, decode_rules, encode_rules};
 use mustardgrade_wire::peer::{FleetKey, FleetKeys};
 
+use super::addresses::{LoopbackRange, platform_address};
 use super::errors::{Result, TrialError};
 use crate::caller::{
     FlowCallerSettings, FlowCallers, RequestCallerSettings, RequestCallers, caller_group_address,
@@ -42,7 +43,7 @@
 /// `TrialEnvironment` holds everything that runs in a trial.
 #[derive(Debug)]
 pub(super) struct TrialEnvironment {
-    pub(super) loopback_second_octet: u8,
+    pub(super) addresses: LoopbackRange,
     pub(super) placement_mode: PlacementMode,
     pub(super) platform: PlatformHandle,
     pub(super) fabric: FabricHandle,
@@ -64,11 +65,11 @@
 impl TrialEnvironment {
     /// Starts the platform, the fabric and the upstreams of the rules.
     pub(super) async fn start(
-        loopback_second_octet: u8,
+        addresses: LoopbackRange,
         placement_mode: PlacementMode,
         rules: &RuleSet,
     ) -> Result<Self> {
-        let platform_and_fabric_address = Ipv4Addr::new(127, loopback_second_octet, 0, 1);
+        let platform_and_fabric_address = platform_address(addresses.second_octet());
         let platform =
             start_platform(SocketAddr::from((platform_and_fabric_address, PLATFORM_PORT))).await?;
         let ports = PortSettings::default();
@@ -79,7 +80,7 @@
             None,
         )?;
         let mut environment = Self {
-            loopback_second_octet,
+            addresses,
             placement_mode,
             platform,
             fabric,
@@ -95,7 +96,7 @@
 
     fn fabric_address(&self) -> SocketAddrV4 {
         SocketAddrV4::new(
-            Ipv4Addr::new(127, self.loopback_second_octet, 0, 1),
+            platform_address(self.addresses.second_octet()),
             PortSettings::default().gue,
         )
     }
@@ -141,7 +142,7 @@
         data_centre: &str,
         address: Ipv4Addr,
     ) -> Result<()> {
-        let platform_address = Ipv4Addr::new(127, self.loopback_second_octet, 0, 1);
+        let platform_address = platform_address(self.addresses.second_octet());
         let seed_hosts = self.hosts.values().map(|running| running.address).collect();
         let settings = HostSettings {
             name: name.to_owned(),
@@ -192,7 +193,7 @@
         let download_service =
             nth_service(rules, ServiceClass::Request, 1, "two request services")?;
         for group in 0..CALLER_GROUP_COUNT {
-            let group_address = Ipv4Addr::new(127, self.loopback_second_octet, 9, group + 1);
+            let group_address = Ipv4Addr::new(127, self.addresses.second_octet(), 9, group + 1);
             self.flow_callers.push(start_flow_callers(FlowCallerSettings {
                 source_address: caller_group_address(group + 1),
                 bind_address: SocketAddrV4::new(group_address, 7_000),
--- a/crates/mustardgrade-standin/src/world/control.rs
+++ b/crates/mustardgrade-standin/src/world/control.rs
@@ -4,13 +4,13 @@
 use std::time::Duration;
 
 use mustardgrade_core::flow::{AddressedUpdate, BindingUpdate};
-use mustardgrade_core::identity::{HostId, ServiceId};
-use mustardgrade_core::membership::{ControllerInput, ControllerOutput, HostDigest};
+use mustardgrade_core::identity::ServiceId;
+use mustardgrade_core::membership::{ControllerInput, ControllerOutput, HostDigest, RecordKeeper};
 use mustardgrade_core::placement::BucketIndex;
 use mustardgrade_wire::peer::{DigestBody, FleetKey, FleetKeys, FrameSealer, PeerMessage};
 
 use super::Simulation;
-use super::event::{RecordDelivery, ServiceRecords, SimulationEvent};
+use super::event::{RecordDelivery, ServiceRecords, SimulationEvent, TrafficThreadWork};
 
 /// Time for which flow binding updates are collected before they are sent as one batch.
 const UPDATE_FLUSH_DELAY: Duration = Duration::from_millis(10);
@@ -55,14 +55,8 @@
             ControllerOutput::FetchAllExceptions(address) => {
                 self.fetch_all_exceptions(host, address)
             }
-            ControllerOutput::FetchBucketExceptions {
-                owner,
-                address,
-                service,
-                generation,
-                buckets,
-            } => {
-                self.fetch_bucket_exceptions(host, owner, address, service, generation, buckets);
+            ControllerOutput::FetchBucketExceptions { keepers, service, generation, buckets } => {
+                self.fetch_bucket_exceptions(host, &keepers, service, generation, buckets);
             }
             ControllerOutput::FetchRecords(addresses) => self.fetch_records(host, &addresses),
             ControllerOutput::ReadStore => self.schedule_store_read(host),
@@ -76,8 +70,8 @@
                 }
             }
             ControllerOutput::InstallSnapshot(snapshot) => {
-                self.hosts[host].flow_router.install(snapshot);
-                self.send_record_transfers(host);
+                self.hosts[host].published_snapshot = Some(snapshot);
+                self.schedule_traffic_thread(host, TrafficThreadWork::TakeSnapshot);
             }
             ControllerOutput::SetTablesConfirmedAt(at) => {
                 self.hosts[host].flow_router.set_tables_confirmed_at(at)
@@ -154,35 +148,41 @@
         );
     }
 
+    /// Fetches the exceptions of buckets from all hosts that keep their records; the fetch fails
+    /// unless each of them answers.
     fn fetch_bucket_exceptions(
         &mut self,
         host: usize,
-        owner: HostId,
-        address: Ipv4Addr,
+        keepers: &[RecordKeeper],
         service: ServiceId,
         generation: u64,
         buckets: Vec<BucketIndex>,
     ) {
-        let reachable_owner = match owner == self.hosts[host].id {
-            true => Some((host, Duration::ZERO)),
-            false => self.simulate_call(host, address),
-        };
-        let Some((peer, delay)) = reachable_owner else { return };
-        let owner_generation = self.hosts[peer].flow_router.snapshot().generation;
-        if owner_generation < generation {
-            return;
+        let mut total_delay = Duration::ZERO;
+        let mut record_lists = Vec::new();
+        for keeper in keepers {
+            let reachable_keeper = match keeper.host == self.hosts[host].id {
+                true => Some((host, Duration::ZERO)),
+                false => self.simulate_call(host, keeper.address),
+            };
+            let Some((peer, delay)) = reachable_keeper else { return };
+            let flow_router = &self.hosts[peer].flow_router;
+            let records = flow_router.bucket_exceptions(service, &buckets, generation);
+            let Some(records) = records else { return };
+            let list = vec![(service, records)];
+            if peer != host {
+                self.hosts[peer].control_bytes_sent += record_list_bytes(&list);
+            }
+            total_delay += delay;
+            record_lists.extend(list);
         }
-        let bucket_set: std::collections::BTreeSet<BucketIndex> = buckets.iter().copied().collect();
-        let records = self.hosts[peer]
-            .flow_router
-            .deviating_records(service, &|bucket| bucket_set.contains(&bucket));
-        let input = ControllerInput::BucketExceptionsFetched {
-            service,
-            generation: owner_generation,
-            buckets,
-        };
-        let delivery = RecordDelivery::BucketExceptions(vec![(service, records)], input);
-        self.reply_records(peer, host, delay, delivery);
+        let input = ControllerInput::BucketExceptionsFetched { service, generation, buckets };
+        let run_id = self.hosts[host].run_id;
+        let records = Box::new(RecordDelivery::BucketExceptions(record_lists, input));
+        self.event_queue.push(
+            self.now + total_delay,
+            SimulationEvent::RecordsReceived { host, run_id, records },
+        );
     }
 
     fn fetch_records(&mut self, host: usize, addresses: &[Ipv4Addr]) {
@@ -259,19 +259,56 @@
                 self.handle_controller_input(host, ControllerInput::RecordsFetched);
             }
             RecordDelivery::AllExceptions(peer, generation, record_lists) => {
-                self.install_exceptions(host, record_lists);
-                self.handle_controller_input(
-                    host,
-                    ControllerInput::AllExceptionsFetched { peer, generation },
-                );
+                let input = ControllerInput::AllExceptionsFetched { peer, generation };
+                let work = TrafficThreadWork::InstallExceptions(record_lists, input);
+                self.schedule_traffic_thread(host, work);
             }
             RecordDelivery::BucketExceptions(record_lists, input) => {
+                let work = TrafficThreadWork::InstallExceptions(record_lists, input);
+                self.schedule_traffic_thread(host, work);
+            }
+        }
+    }
+
+    /// Has the traffic threads of a host carry out a decision of its controller, after a random lag
+    /// if the scenario sets one.
+    fn schedule_traffic_thread(&mut self, host: usize, work: TrafficThreadWork) {
+        let run_id = self.hosts[host].run_id;
+        let max_lag = self.scenario.options.max_thread_lag;
+        if max_lag.is_zero() {
+            return self.run_traffic_thread(host, run_id, work);
+        }
+        let lag = max_lag.mul_f64(rand::RngExt::random_range(&mut self.rng, 0.0..1.0));
+        let event = SimulationEvent::TrafficThreadRuns { host, run_id, work: Box::new(work) };
+        self.event_queue.push(self.now + lag, event);
+    }
+
+    pub(super) fn run_traffic_thread(&mut self, host: usize, run_id: u32, work: TrafficThreadWork) {
+        if !self.is_running(host, run_id) {
+            return;
+        }
+        match work {
+            TrafficThreadWork::TakeSnapshot => self.take_snapshot(host),
+            TrafficThreadWork::InstallExceptions(record_lists, input) => {
+                self.take_snapshot(host);
                 self.install_exceptions(host, record_lists);
                 self.handle_controller_input(host, input);
             }
         }
     }
 
+    /// Has a host route by the latest snapshot of its controller.
+    fn take_snapshot(&mut self, host: usize) {
+        let Some(snapshot) = self.hosts[host].published_snapshot.take() else { return };
+        let input = ControllerInput::SnapshotInstalled {
+            generation: snapshot.generation,
+            rules_revision: snapshot.rules_revision,
+        };
+        self.hosts[host].flow_router.install(snapshot);
+        self.send_record_transfers(host);
+        self.handle_controller_input(host, input);
+    }
+
     fn merge_records(&mut self, host: usize, record_lists: Vec<ServiceRecords>) {
         for (service, records) in record_lists {
             self.hosts[host].flow_router.merge_records(service, &records);
--- a/crates/mustardgrade-standin/src/world/event.rs
+++ b/crates/mustardgrade-standin/src/world/event.rs
@@ -22,6 +22,15 @@
     BucketExceptions(Vec<ServiceRecords>, ControllerInput),
 }
 
+/// `TrafficThreadWork` is what a traffic thread does for the controller of its host.
+#[derive(Debug)]
+pub(super) enum TrafficThreadWork {
+    /// Takes over the latest routing snapshot.
+    TakeSnapshot,
+    /// Installs settled exceptions, and reports them to the controller by this input.
+    InstallExceptions(Vec<ServiceRecords>, ControllerInput),
+}
+
 /// `ServiceRecords` holds the flow records of one service.
 pub(super) type ServiceRecords = (ServiceId, Vec<BindingRecord>);
 
@@ -49,6 +58,8 @@
     ControllerInput { host: usize, run_id: u32, input: Box<ControllerInput> },
     /// Flow records reach a host.
     RecordsReceived { host: usize, run_id: u32, records: Box<RecordDelivery> },
+    /// The traffic threads of a host carry out what its controller has decided.
+    TrafficThreadRuns { host: usize, run_id: u32, work: Box<TrafficThreadWork> },
     /// Flow binding updates reach a host.
     UpdatesReceived { host: usize, run_id: u32, updates: Vec<BindingUpdate> },
     /// A host sends its queued flow binding updates.
@@ -116,6 +127,7 @@
             Self::ControllerTick { host, .. }
             | Self::ControllerInput { host, .. }
             | Self::RecordsReceived { host, .. }
+            | Self::TrafficThreadRuns { host, .. }
             | Self::UpdatesReceived { host, .. }
             | Self::FlushUpdates { host, .. }
             | Self::StoreReadCompleted { host, .. }
--- a/crates/mustardgrade-standin/src/world/hosts.rs
+++ b/crates/mustardgrade-standin/src/world/hosts.rs
@@ -1,9 +1,10 @@
 //! Simulated hosts: start, stop, failure, pauses and periodic work.
 
 use std::net::Ipv4Addr;
+use std::sync::Arc;
 use std::time::Duration;
 
-use mustardgrade_core::flow::{FlowOptions, FlowRouter, PlacementMode};
+use mustardgrade_core::flow::{FlowOptions, FlowRouter, PlacementMode, RoutingSnapshot};
 use mustardgrade_core::identity::{DataCentreId, HostId, HostIncarnation};
 use mustardgrade_core::membership::{
     ControllerInput, ControllerOptions, HostController, ListedHost, MemberTableOptions,
@@ -60,6 +61,8 @@
     pub(super) started_at: Duration,
     pub(super) controller: HostController,
     pub(super) flow_router: FlowRouter,
+    /// Latest routing snapshot of the controller.
+    pub(super) published_snapshot: Option<Arc<RoutingSnapshot>>,
     pub(super) request_router: RequestRouter,
     /// Offset of the wall clock of the host from that of the simulation.
     pub(super) clock_offset: Duration,
@@ -120,6 +123,7 @@
             started_at: self.now,
             controller: HostController::new(options),
             flow_router: FlowRouter::new(id, flow_options),
+            published_snapshot: None,
             request_router: new_request_router(local_incarnation, data_centre_id, request_seed),
             clock_offset,
             control_bytes_sent: 0,
--- a/crates/mustardgrade-standin/src/world/mod.rs
+++ b/crates/mustardgrade-standin/src/world/mod.rs
@@ -132,6 +132,9 @@
             SimulationEvent::ControllerInput { host, run_id, input } => {
                 self.deliver_controller_input(host, run_id, *input)
             }
+            SimulationEvent::TrafficThreadRuns { host, run_id, work } => {
+                self.run_traffic_thread(host, run_id, *work);
+            }
             SimulationEvent::RecordsReceived { host, run_id, records } => {
                 self.deliver_records(host, run_id, *records);
             }
--- a/crates/mustardgrade-wire/src/peer/message.rs
+++ b/crates/mustardgrade-wire/src/peer/message.rs
@@ -80,12 +80,15 @@
     /// Requests all settled exceptions, and the records of buckets that are guarded only because of
     /// a network partition.
     AllExceptions,
-    /// Requests the settled exceptions of some buckets that the callee owns.
+    /// Requests the settled exceptions of some buckets; declined by a callee that is outside the
+    /// owner chain of one of them or routes by an older placement.
     BucketExceptions {
         /// Service that the buckets belong to.
         service: ServiceId,
         /// Indexes of the buckets.
         buckets: Vec<BucketIndex>,
+        /// Minimum placement generation of the answer.
+        min_generation: u64,
     },
     /// Requests the records of all buckets whose owner chain the calling host may enter.
     Records {
