Choosing an upstream reads each one once, and reports of other hosts are looked up once

Cost per host grows with the upstreams.

Change: reports are laid out by upstream index when they arrive; a selection fills one small record for each upstream and reads only these; trackers are carried over by walking both sorted lists. No decision changes; the cost is still linear in the upstreams of the service.

Ruled out for now: choosing among a sample of upstreams, which changes decisions and needs its own load tests.

--- a/crates/mustardgrade-core/src/cookie/load.rs
+++ b/crates/mustardgrade-core/src/cookie/load.rs
@@ -120,6 +120,11 @@
         self.by_upstream.get(&cookie).copied().unwrap_or_default()
     }
 
+    /// Returns the aggregated load of each upstream that a report lists, in no particular order.
+    pub fn iter(&self) -> impl Iterator<Item = (FlowCookie, PeerLoad)> {
+        self.by_upstream.iter().map(|(cookie, load)| (*cookie, *load))
+    }
+
     /// Returns whether any report lists an upstream with unanswered flows.
     #[must_use]
     pub fn has_unanswered(&self) -> bool {
--- a/crates/mustardgrade-core/src/cookie/picker.rs
+++ b/crates/mustardgrade-core/src/cookie/picker.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::load::PeerLoads;
+use super::load::PeerLoad;
 use super::snapshot::{CookieRoute, CookieSnapshot, UpstreamView};
 use super::tracker::{FailureDetectionOptions, UpstreamTracker};
 use crate::identity::{ServiceId, rendezvous_score};
@@ -72,21 +72,43 @@
     pub(super) all_suspected: bool,
 }
 
+/// `PickCandidate` is an upstream that accepts new flows, with what the selection reads of its view
+/// and of its tracker merged with the other hosts' reports.
+#[derive(Debug, Clone, Copy)]
+struct PickCandidate {
+    /// Index in the snapshot.
+    index: usize,
+    /// Requests in flight, in [`LOAD_UNIT`] for each slot.
+    load: u64,
+    /// Open flows that this host has observed.
+    open_flows: u64,
+    slots: u64,
+    is_local: bool,
+    is_cold: bool,
+    is_suspected: bool,
+    is_probe_due: bool,
+    /// Whether an opening has been pending for longer than in normal operation.
+    is_slow: bool,
+}
+
+impl PickCandidate {
+    fn is_healthy(&self) -> bool {
+        !self.is_cold && !self.is_suspected
+    }
+}
+
 /// `PickBuffers` are buffers that are reused for each selection, so that none allocates.
 #[derive(Debug, Default)]
 pub(super) struct PickBuffers {
-    /// Indices of the upstreams that accept new flows.
-    candidates: Vec<usize>,
-    /// The candidates that are neither cold nor suspected, each with its tracker merged with the
-    /// other hosts' reports.
-    healthy: Vec<(usize, UpstreamTracker)>,
+    candidates: Vec<PickCandidate>,
 }
 
 /// `UpstreamPicker` selects upstreams from a snapshot by load, health and locality.
 pub(super) struct UpstreamPicker<'a> {
     pub(super) snapshot: &'a CookieSnapshot,
     pub(super) trackers: &'a mut [UpstreamTracker],
-    pub(super) peers: &'a PeerLoads,
+    /// Load that the other hosts report, for each upstream of the snapshot.
+    pub(super) peers: &'a [PeerLoad],
     pub(super) detection: &'a FailureDetectionOptions,
     pub(super) buffers: &'a mut PickBuffers,
     pub(super) now: Duration,
@@ -120,23 +142,46 @@
             return PickOutcome::NoUpstream;
         };
         let mut candidates = std::mem::take(&mut self.buffers.candidates);
-        let is_usable = |index: &usize| {
-            Some(*index) != exclude && self.snapshot.upstreams[*index].accepts_flows(self.now)
-        };
+        let is_usable =
+            |index: &usize| Some(*index) != exclude && self.view(*index).accepts_flows(self.now);
+        let usable = indices.iter().copied().filter(is_usable);
         candidates.clear();
-        candidates.extend(indices.iter().copied().filter(is_usable));
+        candidates.extend(usable.map(|index| self.candidate(index)));
         let outcome = self.pick_among(&candidates, fingerprint, priority);
         self.buffers.candidates = candidates;
         outcome
     }
 
-    fn pick_among(&mut self, candidates: &[usize], fingerprint: u64, priority: u32) -> PickOutcome {
+    fn candidate(&self, index: usize) -> PickCandidate {
+        let view = self.view(index);
+        let tracker = self.trackers[index].merged_with_peers(self.peers[index]);
+        let slots = u64::from(view.slots);
+        let is_suspected = tracker.is_suspected(self.detection);
+        PickCandidate {
+            index,
+            load: u64::from(tracker.in_flight()) * LOAD_UNIT / slots,
+            open_flows: u64::from(tracker.open_flows),
+            slots,
+            is_local: view.is_local,
+            is_cold: view.is_cold(self.now),
+            is_suspected,
+            is_probe_due: is_suspected && tracker.is_probe_due(self.detection, self.now),
+            is_slow: tracker.has_slow_opening(self.detection, self.now),
+        }
+    }
+
+    fn pick_among(
+        &mut self,
+        candidates: &[PickCandidate],
+        fingerprint: u64,
+        priority: u32,
+    ) -> PickOutcome {
         if let Some(index) = self.probe_candidate(candidates) {
             return PickOutcome::Picked(self.picked(index, false));
         }
-        if let Some(index) = self.pick_healthy(candidates, fingerprint) {
-            return match self.admits(index, priority, fingerprint) {
-                true => PickOutcome::Picked(self.picked(index, false)),
+        if let Some(candidate) = self.least_cost(candidates, fingerprint) {
+            return match admits(candidate.load, priority, fingerprint) {
+                true => PickOutcome::Picked(self.picked(candidate.index, false)),
                 false => PickOutcome::NoRoom,
             };
         }
@@ -144,32 +189,17 @@
             return PickOutcome::Picked(self.picked(index, true));
         }
         // All warm upstreams are suspected, but one of them may be alive nevertheless.
-        let warm = candidates.iter().copied().filter(|index| !self.view(*index).is_cold(self.now));
-        match warm.max_by_key(|index| rendezvous_score(fingerprint, self.view(*index).tag)) {
-            Some(index) => PickOutcome::Picked(PickedUpstream {
+        let warm = candidates.iter().filter(|candidate| !candidate.is_cold);
+        let score = |candidate: &&PickCandidate| self.score(candidate.index, fingerprint);
+        match warm.max_by_key(score) {
+            Some(candidate) => PickOutcome::Picked(PickedUpstream {
                 all_suspected: true,
-                ..self.picked(index, false)
+                ..self.picked(candidate.index, false)
             }),
             None => PickOutcome::NoUpstream,
         }
     }
 
-    /// Returns whether the selected upstream can take another flow of `priority`.
-    ///
-    /// Between the two limits the share of admitted flows, which are selected by hash, falls
-    /// linearly with the load. Hosts learn of each other's load with a delay, so with a single
-    /// threshold they would all admit and then all refuse at the same time.
-    fn admits(&self, index: usize, priority: u32, fingerprint: u64) -> bool {
-        let load = u64::from(self.merged_tracker(index).in_flight()) * LOAD_UNIT
-            / u64::from(self.view(index).slots);
-        let priority_margin =
-            u64::from(LOWEST_PRIORITY - priority.min(LOWEST_PRIORITY)) * PRIORITY_LOAD_STEP;
-        let (admit_all, refuse_all) =
-            (ADMIT_ALL_LOAD + priority_margin, REFUSE_ALL_LOAD + priority_margin);
-        let hash_offset = (fingerprint >> 32) % (refuse_all - admit_all);
-        load < admit_all || (load < refuse_all && load + hash_offset < refuse_all)
-    }
-
     fn view(&self, index: usize) -> &UpstreamView {
         &self.snapshot.upstreams[index]
     }
@@ -178,18 +208,18 @@
         PickedUpstream { index, cold, spilled: !self.view(index).is_local, all_suspected: false }
     }
 
+    fn score(&self, index: usize, fingerprint: u64) -> u64 {
+        rendezvous_score(fingerprint, self.view(index).tag)
+    }
+
     /// Returns a suspected upstream that is due for a probe, and records the probe.
-    fn probe_candidate(&mut self, candidates: &[usize]) -> Option<usize> {
-        let probed = candidates.iter().copied().find(|index| {
-            let tracker = self.merged_tracker(*index);
-            tracker.is_suspected(self.detection)
-                && tracker.is_probe_due(self.detection, self.now)
-                && !self.view(*index).is_cold(self.now)
-        })?;
+    fn probe_candidate(&mut self, candidates: &[PickCandidate]) -> Option<usize> {
+        let is_due = |candidate: &&PickCandidate| candidate.is_probe_due && !candidate.is_cold;
+        let probed = candidates.iter().find(is_due)?.index;
         // Suspected upstreams of another data centre most likely became unreachable together, so
         // one probe counts for all of them.
         let (is_local, data_centre) = (self.view(probed).is_local, self.view(probed).data_centre);
-        for index in candidates.iter().copied() {
+        for index in candidates.iter().map(|candidate| candidate.index) {
             let shares_failure = !is_local && self.view(index).data_centre == data_centre;
             if index == probed
                 || (shares_failure && self.trackers[index].is_suspected(self.detection))
@@ -205,57 +235,40 @@
     /// Upstreams of this data centre are preferred while any of them has capacity. Upstreams of
     /// similar load are ordered by hash; otherwise a crashed upstream, which has nothing in flight,
     /// would look best and attract all new flows.
-    fn pick_healthy(&mut self, candidates: &[usize], fingerprint: u64) -> Option<usize> {
-        let mut healthy = std::mem::take(&mut self.buffers.healthy);
-        let tracked = candidates.iter().map(|index| (*index, self.merged_tracker(*index)));
-        healthy.clear();
-        healthy.extend(tracked.filter(|(index, tracker)| {
-            !self.view(*index).is_cold(self.now) && !tracker.is_suspected(self.detection)
-        }));
-        let choice = self.least_cost(&healthy, fingerprint);
-        self.buffers.healthy = healthy;
-        choice
-    }
-
-    fn least_cost(&self, healthy: &[(usize, UpstreamTracker)], fingerprint: u64) -> Option<usize> {
-        let open_flows: u64 =
-            healthy.iter().map(|(_, tracker)| u64::from(tracker.open_flows)).sum();
-        let slots: u64 = healthy.iter().map(|(index, _)| u64::from(self.view(*index).slots)).sum();
-        let choice = healthy.iter().min_by_key(|(index, tracker)| {
-            let view = self.view(*index);
-            let own_slots = u64::from(view.slots);
-            let load = u64::from(tracker.in_flight()) * LOAD_UNIT / own_slots;
-            let is_slow = tracker.has_slow_opening(self.detection, self.now);
-            let is_preferred = view.is_local && load < SPILL_LOAD;
+    fn least_cost<'c>(
+        &self,
+        candidates: &'c [PickCandidate],
+        fingerprint: u64,
+    ) -> Option<&'c PickCandidate> {
+        let healthy = || candidates.iter().filter(|candidate| candidate.is_healthy());
+        let open_flows: u64 = healthy().map(|candidate| candidate.open_flows).sum();
+        let slots: u64 = healthy().map(|candidate| candidate.slots).sum();
+        healthy().min_by_key(|candidate| {
+            let (own_slots, load) = (candidate.slots, candidate.load);
+            let is_preferred = candidate.is_local && load < SPILL_LOAD;
             let expected_open =
                 (open_flows * own_slots * OPEN_FLOWS_ALLOWANCE_PERCENT / 100).checked_div(slots);
             let excess_flows =
-                u64::from(tracker.open_flows).saturating_sub(expected_open.unwrap_or_default() + 1);
+                candidate.open_flows.saturating_sub(expected_open.unwrap_or_default() + 1);
             let rounded_load =
                 if load < LOAD_UNIT { load / LOAD_GRANULARITY * LOAD_GRANULARITY } else { load };
             let cost = rounded_load + excess_flows * EXCESS_FLOW_COST / own_slots;
-            let distance_cost = if view.is_local { 0 } else { REMOTE_COST };
-            let score = rendezvous_score(fingerprint, view.tag);
-            (is_slow, !is_preferred, cost + distance_cost, std::cmp::Reverse(score))
-        });
-        choice.map(|(index, _)| *index)
-    }
-
-    /// Returns the tracker of an upstream, including the other hosts' reports.
-    fn merged_tracker(&self, index: usize) -> UpstreamTracker {
-        let tracker = self.trackers[index];
-        tracker.merged_with_peers(self.peers.get(tracker.cookie))
+            let distance_cost = if candidate.is_local { 0 } else { REMOTE_COST };
+            let score = self.score(candidate.index, fingerprint);
+            (candidate.is_slow, !is_preferred, cost + distance_cost, std::cmp::Reverse(score))
+        })
     }
 
     /// Returns a cold upstream whose fleet-wide rate limit allows this host another flow now.
-    fn pick_cold(&mut self, candidates: &[usize], fingerprint: u64) -> Option<usize> {
+    fn pick_cold(&mut self, candidates: &[PickCandidate], fingerprint: u64) -> Option<usize> {
         if self.snapshot.fleet_hosts == 0 {
             return None;
         }
-        let cold = candidates.iter().copied().filter(|index| self.view(*index).is_cold(self.now));
+        let cold = candidates.iter().filter(|candidate| candidate.is_cold);
         let index = cold
+            .map(|candidate| candidate.index)
             .filter(|index| self.now >= self.trackers[*index].next_cold_flow_at)
-            .max_by_key(|index| rendezvous_score(fingerprint, self.view(*index).tag))?;
+            .max_by_key(|index| self.score(*index, fingerprint))?;
         let rate = (self.view(index).cold_rate + COLD_EXTRA_FLOWS_PER_SEC)
             / self.snapshot.fleet_hosts as f64;
         let interval = Duration::from_secs_f64(1.0 / rate);
@@ -267,3 +280,17 @@
         (!is_first_flow).then_some(index)
     }
 }
+
+/// Returns whether an upstream with this load can take another flow of `priority`.
+///
+/// Between the two limits the share of admitted flows, which are selected by hash, falls linearly
+/// with the load. Hosts learn of each other's load with a delay, so with a single threshold they
+/// would all admit and then all refuse at the same time.
+fn admits(load: u64, priority: u32, fingerprint: u64) -> bool {
+    let priority_margin =
+        u64::from(LOWEST_PRIORITY - priority.min(LOWEST_PRIORITY)) * PRIORITY_LOAD_STEP;
+    let (admit_all, refuse_all) =
+        (ADMIT_ALL_LOAD + priority_margin, REFUSE_ALL_LOAD + priority_margin);
+    let hash_offset = (fingerprint >> 32) % (refuse_all - admit_all);
+    load < admit_all || (load < refuse_all && load + hash_offset < refuse_all)
+}
--- a/crates/mustardgrade-core/src/cookie/reachability.rs
+++ b/crates/mustardgrade-core/src/cookie/reachability.rs
@@ -86,26 +86,28 @@
                 ..DataCentreReachability::default()
             };
         }
-        for (view, tracker) in self.snapshot.upstreams.iter().zip(&self.trackers) {
+        let loads = self.trackers.iter().zip(&self.peer_loads);
+        for (view, (tracker, peers)) in self.snapshot.upstreams.iter().zip(loads) {
             if view.is_local {
                 continue;
             }
-            let peers = self.peers.get(tracker.cookie);
             let state = table.entry(view.data_centre).or_default();
             state.last_alive = state.last_alive.max(tracker.last_alive).max(peers.last_alive);
         }
     }
 
     fn count_silent_upstreams(&self, table: &mut ReachabilityTable, now: Duration) {
-        for (view, tracker) in self.snapshot.upstreams.iter().zip(&self.trackers) {
+        let loads = self.trackers.iter().zip(&self.peer_loads);
+        for (view, (tracker, peers)) in self.snapshot.upstreams.iter().zip(loads) {
             let Some(state) = table.get_mut(&view.data_centre) else { continue };
             if view.is_local || view.is_gone(now) {
                 continue;
             }
             state.present_upstreams += 1;
             let own = tracker.unanswered_since();
-            let peers = self.peers.get(tracker.cookie).unanswered_since;
-            let Some(silent_since) = own.into_iter().chain(peers).max() else { continue };
+            let Some(silent_since) = own.into_iter().chain(peers.unanswered_since).max() else {
+                continue;
+            };
             if silent_since > state.last_alive {
                 state.silent_upstreams += 1;
                 let earliest =
--- a/crates/mustardgrade-core/src/cookie/router.rs
+++ b/crates/mustardgrade-core/src/cookie/router.rs
@@ -9,12 +9,12 @@
 
 use super::counters::{CookieCounters, CookieDropCause, ResetCause};
 use super::flow_cookie::FlowCookie;
-use super::load::PeerLoads;
+use super::load::{PeerLoad, PeerLoads};
 use super::observed_flows::{FlowStage, ObservedFlow, ObservedFlowTable};
 use super::packet::{CookiePacket, CookieVerdict, FlowEvent};
 use super::picker::{PickBuffers, PickOutcome, UpstreamPicker};
 use super::reachability::ReachabilityTable;
-use super::snapshot::{CookieRoute, CookieSnapshot};
+use super::snapshot::{CookieRoute, CookieSnapshot, UpstreamView};
 use super::tracker::{FailureDetectionOptions, UpstreamTracker};
 use super::utilisation::LoadEstimator;
 use crate::flow::{FlowKey, FlowPacket};
@@ -72,6 +72,8 @@
     pub(super) snapshot: Arc<CookieSnapshot>,
     pub(super) trackers: Vec<UpstreamTracker>,
     pub(super) peers: Arc<PeerLoads>,
+    /// Load that the other hosts report, for each upstream of the snapshot.
+    pub(super) peer_loads: Vec<PeerLoad>,
     pub(super) flows: ObservedFlowTable,
     pub(super) opening_queue: VecDeque<(Duration, FlowKey)>,
     pub(super) request_queue: VecDeque<(Duration, FlowKey)>,
@@ -97,6 +99,7 @@
             snapshot: Arc::new(CookieSnapshot::default()),
             trackers: Vec::new(),
             peers: Arc::default(),
+            peer_loads: Vec::new(),
             opening_queue: VecDeque::new(),
             request_queue: VecDeque::new(),
             counters: CookieCounters::default(),
@@ -143,17 +146,28 @@
 
     /// Installs a snapshot; the trackers of upstreams that it still contains are kept.
     pub fn install_snapshot(&mut self, snapshot: Arc<CookieSnapshot>) {
-        let previous: HashMap<FlowCookie, UpstreamTracker> =
-            self.trackers.iter().map(|tracker| (tracker.cookie, *tracker)).collect();
-        let tracker =
-            |cookie| previous.get(&cookie).copied().unwrap_or(UpstreamTracker::new(cookie));
-        self.trackers = snapshot.upstreams.iter().map(|view| tracker(view.cookie)).collect();
+        self.trackers = carry_over_trackers(&self.trackers, &snapshot);
         self.snapshot = snapshot;
+        self.index_peer_loads();
     }
 
     /// Installs the aggregated load reports of the other hosts.
     pub fn install_peer_loads(&mut self, peers: Arc<PeerLoads>) {
         self.peers = peers;
+        self.index_peer_loads();
+    }
+
+    /// Looks up the upstreams of the reports, so that no opening has to.
+    fn index_peer_loads(&mut self) {
+        self.peer_loads.clear();
+        self.peer_loads.resize(self.snapshot.upstreams.len(), PeerLoad::default());
+        for (cookie, load) in self.peers.iter() {
+            let Some(index) = self.snapshot.upstream_index(cookie) else { continue };
+            // Cookies of an earlier run lead to the present one, which is not meant.
+            if self.snapshot.upstreams[index].cookie == cookie {
+                self.peer_loads[index] = load;
+            }
+        }
     }
 
     /// Routes one packet of a caller and counts the verdict.
@@ -238,7 +252,7 @@
         let mut picker = UpstreamPicker {
             snapshot,
             trackers: &mut self.trackers,
-            peers: &self.peers,
+            peers: &self.peer_loads,
             detection: &self.options.failure_detection,
             buffers: &mut self.pick_buffers,
             now,
@@ -374,8 +388,7 @@
         if segment.payload_length == 0 || route.config.retry_policy != RetryPolicy::Idempotent {
             return false;
         }
-        let tracker =
-            self.trackers[index].merged_with_peers(self.peers.get(self.trackers[index].cookie));
+        let tracker = self.trackers[index].merged_with_peers(self.peer_loads[index]);
         if !tracker.is_silent(options, now) {
             return false;
         }
@@ -419,6 +432,34 @@
     }
 }
 
+/// Returns the trackers of the upstreams of `snapshot`, in its order; those of upstreams that it has
+/// in common with the last one are kept.
+///
+/// Both are in the same order, so neighbouring upstreams are mostly found without a search.
+fn carry_over_trackers(
+    trackers: &[UpstreamTracker],
+    snapshot: &CookieSnapshot,
+) -> Vec<UpstreamTracker> {
+    let mut by_cookie: Option<HashMap<FlowCookie, usize>> = None;
+    let mut next = 0;
+    let carry_over = |view: &UpstreamView| {
+        let is_next = trackers.get(next).is_some_and(|tracker| tracker.cookie == view.cookie);
+        let index = match is_next {
+            true => Some(next),
+            false => by_cookie
+                .get_or_insert_with(|| {
+                    let cookies = trackers.iter().map(|tracker| tracker.cookie);
+                    cookies.enumerate().map(|(index, cookie)| (cookie, index)).collect()
+                })
+                .get(&view.cookie)
+                .copied(),
+        };
+        next = index.map_or(next, |index| index + 1);
+        index.map_or(UpstreamTracker::new(view.cookie), |index| trackers[index])
+    };
+    snapshot.upstreams.iter().map(carry_over).collect()
+}
+
 /// Removes a flow from the counts of its upstream's tracker.
 fn uncount_flow(snapshot: &CookieSnapshot, trackers: &mut [UpstreamTracker], flow: &ObservedFlow) {
     let Some(index) = snapshot.upstream_index(flow.cookie) else { return };
--- a/crates/mustardgrade-core/src/cookie/tests/upstream_selection.rs
+++ b/crates/mustardgrade-core/src/cookie/tests/upstream_selection.rs
@@ -191,3 +191,25 @@
     assert_eq!(routed_tag(&mut router, &syn_packet(flow_key(1, DESK_ROUTE), 0), ms(1_100)), 2);
     assert_eq!(routed_tag(&mut router, &syn_packet(flow_key(2, DESK_ROUTE), 0), ms(3_600)), 1);
 }
+
+#[test]
+fn requests_in_flight_are_kept_when_other_upstreams_come_and_go() {
+    let mut registry = TestRegistry::new();
+    registry.add_upstreams("desk", "a", 20..26);
+    let mut router = registry.router();
+    let mut opened: Vec<u64> = (0..12)
+        .map(|caller| routed_tag(&mut router, &syn_packet(flow_key(caller, DESK_ROUTE), 0), ms(1)))
+        .collect();
+    registry.add_upstreams("desk", "a", 10..12);
+    registry.remove_upstream(23, false, ms(2));
+    registry.add_upstreams("archive", "a", 30..31);
+    registry.install_into(&mut router);
+    let upstreams = router.snapshot().upstreams.iter().map(|view| view.tag);
+    let mut counted: Vec<u64> = upstreams
+        .zip(router.trackers())
+        .flat_map(|(tag, tracker)| std::iter::repeat_n(tag, tracker.in_flight() as usize))
+        .collect();
+    opened.sort_unstable();
+    counted.sort_unstable();
+    assert_eq!(counted, opened);
+}
--- a/crates/mustardgrade-core/src/cookie/utilisation.rs
+++ b/crates/mustardgrade-core/src/cookie/utilisation.rs
@@ -109,7 +109,7 @@
         });
         local.fold((0, 0, 0), |(own, peers, slots), index| {
             let tracker = &self.trackers[index];
-            let by_peers = self.peers.get(tracker.cookie).in_flight;
+            let by_peers = self.peer_loads[index].in_flight;
             let upstream_slots = u32::from(self.snapshot.upstreams[index].slots);
             (own + tracker.in_flight(), peers + by_peers, slots + upstream_slots)
         })
