--- a/crates/mustardgrade-core/src/membership/controller.rs
+++ b/crates/mustardgrade-core/src/membership/controller.rs
@@ -1,223 +1,30 @@
 //! The controller, which makes the control decisions of one host.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use super::digest::{HostDigest, HostState};
-use super::member::{ListedHost, MemberTable, MemberTableOptions};
-use crate::flow::{HostRoute, PlacementMode, RoutingSnapshot};
-use crate::identity::{DataCentreId, HostId, HostIncarnation, ServiceId, rendezvous_order};
-use crate::placement::{
-    BucketIndex, BucketPhase, ClusterProgress, PlacementMap, PlacementPlanner, PlannerOptions,
+use super::events::{
+    ControllerInput, ControllerOptions, ControllerOutput, PeerConfiguration, StoredPlacement,
+    StoredRules,
 };
-use crate::rule::RuleSet;
-
-/// Rendezvous key that ranks hosts as proposers of placements.
-pub(super) const PROPOSER_RENDEZVOUS_KEY: u64 = 0x7072_6f70_6f73_6572;
+use super::member::MemberTable;
+use super::steps::{JoinStep, LeaveStep, PartitionRecovery};
+use crate::flow::{HostRoute, PlacementMode, RoutingSnapshot};
+use crate::identity::{DataCentreId, HostId, ServiceId, rendezvous_order};
+use crate::placement::{BucketIndex, BucketPhase, ClusterProgress, PlacementMap, PlacementPlanner};
 
 /// Rendezvous key that selects the hosts that watch the store.
-pub(super) const WATCHER_RENDEZVOUS_KEY: u64 = 0x7761_7463_6865_7273;
+const WATCHER_RENDEZVOUS_KEY: u64 = 0x7761_7463_6865_7273;
 
 /// Number of hosts per data centre that watch the store; with a single watcher, no host would watch
 /// between its failure and the takeover by another host.
-pub(super) const STORE_WATCHERS_PER_DATA_CENTRE: usize = 2;
-
-/// Delay per rank before a host publishes a placement that higher-ranked hosts have not published.
-pub(super) const PROPOSER_RANK_DELAY: Duration = Duration::from_secs(3);
-
-/// Interval between planner runs while the apply progress of the hosts does not change.
-pub(super) const PLAN_INTERVAL: Duration = Duration::from_secs(1);
+const STORE_WATCHERS_PER_DATA_CENTRE: usize = 2;
 
 /// Interval after which an unanswered fetch from a peer or the store is retried.
 pub(super) const FETCH_RETRY_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Maximum time that a join or a partition recovery waits for the views of all hosts to agree.
-pub(super) const CONVERGENCE_TIMEOUT: Duration = Duration::from_secs(3);
-
-/// Minimum time for which a leaving host keeps routing after the views of all hosts agree.
-pub(super) const LEAVE_GRACE_PERIOD: Duration = Duration::from_millis(500);
-
-/// Time after which a leaving host stops even if the views of the hosts have not agreed.
-pub(super) const LEAVE_TIMEOUT: Duration = Duration::from_secs(8);
-
-/// `ControllerOptions` holds the settings of a [`HostController`].
-#[derive(Debug, Clone)]
-pub struct ControllerOptions {
-    /// Identity and current run of the local host.
-    pub local_incarnation: HostIncarnation,
-    /// Address of the local host.
-    pub address: Ipv4Addr,
-    /// Data centre of the local host.
-    pub data_centre: DataCentreId,
-    /// Addresses of hosts to contact until the configuration has been fetched, so that a host can
-    /// start while the platform's host list cannot be read.
-    pub seeds: Vec<Ipv4Addr>,
-    /// Method that keeps the packets of a flow on one upstream.
-    pub placement_mode: PlacementMode,
-    /// Settings of the member table.
-    pub member_table: MemberTableOptions,
-    /// Settings of the planner.
-    pub planner: PlannerOptions,
-}
-
-/// `StoredRules` is a revision of the rules that the store has accepted.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct StoredRules {
-    /// Revision number.
-    pub revision: u64,
-    /// Rules of this revision.
-    pub rule_set: Arc<RuleSet>,
-}
-
-/// `StoredPlacement` is a published generation of the placement.
-pub type StoredPlacement = Arc<PlacementMap>;
-
-/// `PeerConfiguration` is the configuration in force on a host, as sent to peers that request it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct PeerConfiguration {
-    /// Rules in force on the peer, if it has any.
-    pub rules: Option<StoredRules>,
-    /// Placement in force on the peer.
-    pub placement: Option<StoredPlacement>,
-    /// Addresses to which the peer sends digests.
-    pub host_addresses: Vec<Ipv4Addr>,
-}
-
-/// `ControllerInput` is an event that the controller processes.
-#[derive(Debug, Clone)]
-pub enum ControllerInput {
-    /// The periodic timer has fired.
-    Tick,
-    /// A digest from an authenticated sender has been received.
-    DigestReceived(HostDigest),
-    /// The platform's host list has been read.
-    HostListRead(Vec<ListedHost>),
-    /// A peer has sent the addresses of the hosts that it knows.
-    PeerAddressesReceived(Vec<Ipv4Addr>),
-    /// Rules have been read from the store or a peer.
-    RulesReceived(StoredRules),
-    /// A placement has been read from the store or a peer.
-    PlacementReceived(StoredPlacement),
-    /// All settled exceptions that a peer knows have been fetched and installed.
-    AllExceptionsFetched {
-        /// Address of the peer.
-        peer: Ipv4Addr,
-        /// Placement generation in force on the peer.
-        generation: u64,
-    },
-    /// The settled exceptions of some buckets have been fetched from their owner and installed.
-    BucketExceptionsFetched {
-        /// Service to which the buckets belong.
-        service: ServiceId,
-        /// Placement generation in force on the owner.
-        generation: u64,
-        /// Buckets whose exceptions are concerned.
-        buckets: Vec<BucketIndex>,
-    },
-    /// All traffic threads route by a snapshot of this placement and these rules, or a later one.
-    SnapshotInstalled {
-        /// Placement generation of the snapshot.
-        generation: u64,
-        /// Rules revision of the snapshot.
-        rules_revision: u64,
-    },
-    /// Every live peer has been asked for the flow records that this host will own.
-    RecordsFetched,
-    /// The host has been asked to stop.
-    LeaveRequested,
-}
-
-/// `ControllerOutput` is an action that the I/O layer must perform.
-#[derive(Debug, Clone, PartialEq)]
-pub enum ControllerOutput {
-    /// Send a digest to peers.
-    SendDigest {
-        /// Addresses of the recipients.
-        recipients: Vec<Ipv4Addr>,
-        /// Digest to send.
-        digest: HostDigest,
-    },
-    /// Fetch the configuration in force from a peer.
-    FetchConfiguration(Ipv4Addr),
-    /// Fetch all settled exceptions that a peer knows.
-    FetchAllExceptions(Ipv4Addr),
-    /// Fetch the settled exceptions of buckets from every host that keeps their records. A host that
-    /// has just become owner may know a record only by way of its replica.
-    FetchBucketExceptions {
-        /// Owner and replica of the buckets, one of which may be the local host.
-        keepers: Vec<RecordKeeper>,
-        /// Service to which the buckets belong.
-        service: ServiceId,
-        /// Minimum placement generation of the answers.
-        generation: u64,
-        /// Buckets whose exceptions are concerned.
-        buckets: Vec<BucketIndex>,
-    },
-    /// Fetch the flow records that this host will own from the peers with these addresses.
-    FetchRecords(Vec<Ipv4Addr>),
-    /// Read rules and placement from the store.
-    ReadStore,
-    /// Write a placement generation to the store if the store still holds its predecessor.
-    WritePlacement(StoredPlacement),
-    /// Install a routing snapshot on the traffic threads.
-    InstallSnapshot(Arc<RoutingSnapshot>),
-    /// Tell the traffic threads at what time the tables were last confirmed to be up to date; zero
-    /// revokes an earlier confirmation.
-    SetTablesConfirmedAt(Duration),
-    /// The handover is complete or has timed out, so the process may exit.
-    Exit,
-}
-
-/// `RecordKeeper` is a host that keeps the records of a bucket, as its owner or replica.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub struct RecordKeeper {
-    /// Identity of the host.
-    pub host: HostId,
-    /// Address of the host.
-    pub address: Ipv4Addr,
-}
-
-/// `JoinStep` is the progress of a host that joins.
-///
-/// Durations are the active time of the member table at the start of the step.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum JoinStep {
-    /// The rules have taken the local data centre out of service.
-    DataCentreOutOfService,
-    /// Rules and placement are fetched from peers and the store.
-    FetchingConfiguration,
-    /// All settled exceptions are fetched from a serving peer.
-    FetchingExceptions(Duration),
-    /// The host waits until all live hosts report the same view, or the timeout has passed.
-    AwaitingConvergence(Duration),
-    /// The flow records that this host will own are fetched from all live peers.
-    FetchingRecords,
-    /// The host may serve.
-    Joined,
-}
-
-/// `PartitionRecovery` is the progress of collecting exceptions that other hosts recorded while
-/// this host did not receive their digests.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(super) struct PartitionRecovery {
-    /// Active time of the member table at the start of the recovery.
-    pub(super) since: Duration,
-    /// Whether the exceptions have been requested from the live peers.
-    pub(super) fetch_started: bool,
-    /// Live peers that have not answered yet.
-    pub(super) pending_peers: BTreeSet<Ipv4Addr>,
-}
-
-/// `LeaveStep` is the progress of a host that leaves.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum LeaveStep {
-    NotLeaving,
-    Leaving { since: Duration, converged_at: Option<Duration> },
-    Stopped,
-}
-
 /// `SnapshotDependencies` are the inputs that determine a routing snapshot; no new snapshot is
 /// built while they are unchanged.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/mustardgrade-core/src/membership/lifecycle.rs
+++ b/crates/mustardgrade-core/src/membership/lifecycle.rs
@@ -4,11 +4,19 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
-use super::controller::{
-    CONVERGENCE_TIMEOUT, ControllerOutput, FETCH_RETRY_INTERVAL, HostController, JoinStep,
-    LEAVE_GRACE_PERIOD, LEAVE_TIMEOUT, LeaveStep, PartitionRecovery,
-};
+use super::controller::{FETCH_RETRY_INTERVAL, HostController};
 use super::digest::{HostDigest, HostState};
+use super::events::ControllerOutput;
+use super::steps::{JoinStep, LeaveStep, PartitionRecovery};
+
+/// Maximum time that a join or a partition recovery waits for the views of all hosts to agree.
+const CONVERGENCE_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Minimum time for which a leaving host keeps routing after the views of all hosts agree.
+const LEAVE_GRACE_PERIOD: Duration = Duration::from_millis(500);
+
+/// Time after which a leaving host stops even if the views of the hosts have not agreed.
+const LEAVE_TIMEOUT: Duration = Duration::from_secs(8);
 
 impl HostController {
     /// Notes that the exceptions of `peer` are installed. During a partition recovery, the
--- a/crates/mustardgrade-core/src/membership/mod.rs
+++ b/crates/mustardgrade-core/src/membership/mod.rs
@@ -6,16 +6,19 @@
 
 mod controller;
 mod digest;
+mod events;
 mod lifecycle;
 mod member;
 mod publishing;
 mod settling;
+mod steps;
 
-pub use controller::{
-    ControllerInput, ControllerOptions, ControllerOutput, HostController, PeerConfiguration,
-    RecordKeeper, StoredPlacement, StoredRules,
-};
+pub use controller::HostController;
 pub use digest::{HostDigest, HostState};
+pub use events::{
+    ControllerInput, ControllerOptions, ControllerOutput, PeerConfiguration, RecordKeeper,
+    StoredPlacement, StoredRules,
+};
 pub use member::{KnownHost, ListedHost, MemberTable, MemberTableOptions};
 
 #[cfg(test)]
--- a/crates/mustardgrade-core/src/membership/publishing.rs
+++ b/crates/mustardgrade-core/src/membership/publishing.rs
@@ -3,16 +3,24 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::controller::{
-    ControllerOutput, HostController, JoinStep, PLAN_INTERVAL, PROPOSER_RANK_DELAY,
-    PROPOSER_RENDEZVOUS_KEY, PlanDependencies, SnapshotDependencies,
-};
+use super::controller::{HostController, PlanDependencies, SnapshotDependencies};
 use super::digest::{HostDigest, HostState};
+use super::events::ControllerOutput;
+use super::steps::JoinStep;
 use crate::flow::{PlacementMode, SnapshotInputs, build_snapshot};
 use crate::identity::{HostId, rendezvous_order};
 use crate::placement::WARM_WEIGHT_PER_SLOT;
 use crate::rule::UpstreamRule;
 
+/// Rendezvous key that ranks hosts as proposers of placements.
+const PROPOSER_RENDEZVOUS_KEY: u64 = 0x7072_6f70_6f73_6572;
+
+/// Delay per rank before a host publishes a placement that higher-ranked hosts have not published.
+const PROPOSER_RANK_DELAY: Duration = Duration::from_secs(3);
+
+/// Interval between planner runs while the apply progress of the hosts does not change.
+const PLAN_INTERVAL: Duration = Duration::from_secs(1);
+
 impl HostController {
     pub(super) fn send_digest(&mut self, now: Duration, outputs: &mut Vec<ControllerOutput>) {
         self.digest_sequence += 1;
--- a/crates/mustardgrade-core/src/membership/settling.rs
+++ b/crates/mustardgrade-core/src/membership/settling.rs
@@ -7,7 +7,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::controller::{ControllerOutput, FETCH_RETRY_INTERVAL, HostController, RecordKeeper};
+use super::controller::{FETCH_RETRY_INTERVAL, HostController};
+use super::events::{ControllerOutput, RecordKeeper};
 use crate::flow::{PlacementMode, RoutingSnapshot};
 use crate::identity::ServiceId;
 use crate::placement::{BucketIndex, BucketPhase, PlacementMap};
--- a/crates/mustardgrade-core/src/watch/controller.rs
+++ b/crates/mustardgrade-core/src/watch/controller.rs
@@ -11,8 +11,9 @@
 use super::fleet_view::FleetView;
 use super::gossip::BroadcastScope;
 use super::message::{ChangeBatch, FleetDigest, FleetMemberState, FleetMessage, saturating_millis};
+use super::options::WatchOptions;
 use super::peer_loads::PeerLoadTable;
-use super::schedule::WatchSchedule;
+use super::status::WatchStatus;
 use super::store_calls::is_seed_host;
 use crate::cookie::{CookieSnapshot, SnapshotContext, build_cookie_snapshot};
 use crate::identity::{DataCentreId, ServiceId};
@@ -37,44 +38,6 @@
 /// Time for which the peak host count is kept for dividing fleet-wide rate limits.
 const PEAK_HOSTS_RETENTION: Duration = Duration::from_secs(60);
 
-/// `WatchOptions` are the settings of a [`WatchController`].
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct WatchOptions {
-    /// Address on which other hosts reach this one.
-    pub address: Ipv4Addr,
-    /// The data centre in which the host is located.
-    pub data_centre: DataCentreId,
-    /// Number of this run of the host, which differs after a restart.
-    pub incarnation: u64,
-    /// CPU share of the host in thousandths of a core; hosts with a larger one watch first.
-    pub cpu_millicores: u16,
-    /// Configured peers to contact first; some may be down or decommissioned.
-    pub seed_hosts: Vec<Ipv4Addr>,
-    /// Timing of the store calls.
-    pub schedule: WatchSchedule,
-    /// Seed of the random number generator.
-    pub rng_seed: u64,
-}
-
-/// `WatchStatus` summarises the registry replica of a host for the status page.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct WatchStatus {
-    /// Life-cycle state of the host.
-    pub state: FleetMemberState,
-    /// Revision up to which every change has been applied.
-    pub revision: u64,
-    /// Version of the manifest in force; 0 if there is none.
-    pub manifest_version: u64,
-    /// Time since the registry was last confirmed to be current; `None` if it never was.
-    pub confirmation_age: Option<Duration>,
-    /// Whether the host watches the store.
-    pub watching: bool,
-    /// Number of live hosts, this one included.
-    pub live_hosts: usize,
-    /// Number of store calls since the start.
-    pub store_calls: u64,
-}
-
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct CallInProgress {
     pub(super) call: StoreCall,
--- a/crates/mustardgrade-core/src/watch/mod.rs
+++ b/crates/mustardgrade-core/src/watch/mod.rs
@@ -12,16 +12,20 @@
 mod fleet_view;
 mod gossip;
 mod message;
+mod options;
 mod peer_loads;
 mod schedule;
+mod status;
 mod store_calls;
 
-pub use controller::{WatchController, WatchOptions, WatchStatus};
+pub use controller::WatchController;
 pub use events::{StoreCall, StoreFailure, WatchEvent, WatchInput, WatchOutput};
 pub use fleet_view::{FleetMember, FleetView};
 pub use message::{ChangeBatch, FleetDigest, FleetMemberState, FleetMemberSummary, FleetMessage};
+pub use options::WatchOptions;
 pub use peer_loads::PeerLoadTable;
 pub use schedule::WatchSchedule;
+pub use status::WatchStatus;
 
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/crates/mustardgrade-core/src/watch/status.rs
@@ -0,0 +1,24 @@
+//! State of a registry replica, as operators see it.
+
+use std::time::Duration;
+
+use super::message::FleetMemberState;
+
+/// `WatchStatus` summarises the registry replica of a host for the status page.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WatchStatus {
+    /// Life-cycle state of the host.
+    pub state: FleetMemberState,
+    /// Revision up to which every change has been applied.
+    pub revision: u64,
+    /// Version of the manifest in force; 0 if there is none.
+    pub manifest_version: u64,
+    /// Time since the registry was last confirmed to be current; `None` if it never was.
+    pub confirmation_age: Option<Duration>,
+    /// Whether the host watches the store.
+    pub watching: bool,
+    /// Number of live hosts, this one included.
+    pub live_hosts: usize,
+    /// Number of store calls since the start.
+    pub store_calls: u64,
+}
--- a/crates/mustardgrade-core/src/watch/store_calls.rs
+++ b/crates/mustardgrade-core/src/watch/store_calls.rs
@@ -4,9 +4,10 @@
 
 use rand::RngExt;
 
-use super::controller::{CallInProgress, WatchController, WatchOptions};
+use super::controller::{CallInProgress, WatchController};
 use super::events::{StoreCall, StoreFailure, WatchEvent, WatchOutput};
 use super::message::{FleetMemberState, saturating_millis};
+use super::options::WatchOptions;
 
 /// Silence of all remote hosts after which the data centre counts as partitioned; several digests
 /// from each data centre normally arrive within this time.
