A trial keeps its loopback addresses until its process ends

The reservation was released when the trial returned, while its threads still held ports, and a run that began in that moment took the same range.

Change: only the end of the process releases a range.

--- a/crates/mustardgrade-standin/src/trial/addresses.rs
+++ b/crates/mustardgrade-standin/src/trial/addresses.rs
@@ -18,11 +18,10 @@
 /// Port whose listener reserves a range; nothing else in a trial uses it.
 const RESERVATION_PORT: u16 = 8_499;
 
-/// `LoopbackRange` is a range of loopback addresses that is reserved until it is dropped.
+/// `LoopbackRange` is a range of loopback addresses that is reserved until the process ends.
 #[derive(Debug)]
 pub(super) struct LoopbackRange {
     second_octet: u8,
-    _reservation: TcpListener,
 }
 
 impl LoopbackRange {
@@ -36,7 +35,10 @@
             let second_octet = FIRST_SECOND_OCTET + index * RANGE_DISTANCE;
             let address = SocketAddrV4::new(platform_address(second_octet), RESERVATION_PORT);
             if let Ok(reservation) = TcpListener::bind(address) {
-                return Ok(Self { second_octet, _reservation: reservation });
+                // Threads and tasks of a trial may hold ports of the range when the trial has
+                // ended, so only the end of the process may release it.
+                std::mem::forget(reservation);
+                return Ok(Self { second_octet });
             }
         }
         Err(TrialError::NoFreeAddresses(RANGE_COUNT))
--- a/crates/mustardgrade-standin/src/trial/tests.rs
+++ b/crates/mustardgrade-standin/src/trial/tests.rs
@@ -30,6 +30,13 @@
     assert_ne!(upstream(&first), upstream(&second));
 }
 
+#[test]
+fn range_stays_reserved_when_the_trial_has_ended() {
+    let ended = LoopbackRange::reserve().expect("a range is free").second_octet();
+    let next = LoopbackRange::reserve().expect("a range is free").second_octet();
+    assert_ne!(ended, next);
+}
+
 #[test]
 fn upstream_that_cannot_be_moved_is_named() {
     let _first_range = LoopbackRange::reserve().expect("a range is free");
