--- a/crates/mustardgrade-core/src/cookie/router.rs
+++ b/crates/mustardgrade-core/src/cookie/router.rs
@@ -157,13 +157,13 @@
         self.index_peer_loads();
     }
 
-    /// Looks up the upstreams of the reports, so that no opening has to.
+    /// Stores the reported loads by upstream index, so that openings need no look-up by cookie.
     fn index_peer_loads(&mut self) {
         self.peer_loads.clear();
         self.peer_loads.resize(self.snapshot.upstreams.len(), PeerLoad::default());
         for (cookie, load) in self.peers.iter() {
             let Some(index) = self.snapshot.upstream_index(cookie) else { continue };
-            // Cookies of an earlier run lead to the present one, which is not meant.
+            // The index also maps cookies of an earlier run, whose load is not that of this one.
             if self.snapshot.upstreams[index].cookie == cookie {
                 self.peer_loads[index] = load;
             }
