--- a/crates/mustardgrade-core/src/watch/controller.rs
+++ b/crates/mustardgrade-core/src/watch/controller.rs
@@ -74,6 +74,8 @@
     pub(super) peak_live_hosts: (usize, Duration),
     pub(super) summary_offset: usize,
     pub(super) store_calls: u64,
+    pub(super) registry_reads: u64,
+    pub(super) ignored_changes: u64,
 }
 
 impl WatchController {
@@ -116,6 +118,8 @@
             peak_live_hosts: (0, now),
             summary_offset: 0,
             store_calls: 0,
+            registry_reads: 0,
+            ignored_changes: 0,
         }
     }
 
@@ -130,6 +134,8 @@
             watching: self.watching,
             live_hosts: self.fleet.live(now).count() + 1,
             store_calls: self.store_calls,
+            registry_reads: self.registry_reads,
+            ignored_changes: self.ignored_changes,
         }
     }
 
@@ -307,6 +313,8 @@
         let batch = match result {
             Ok(batch) => batch,
             Err(StoreFailure::HistoryCompacted) => {
+                let after_revision = self.registry.revision();
+                outputs.push(WatchOutput::Event(WatchEvent::HistoryUnavailable { after_revision }));
                 self.start_call(StoreCall::ReadAll { allow_stale: false }, now, outputs);
                 return;
             }
@@ -322,6 +330,7 @@
             // No host has confirmed the registry lately, so the store may have had an outage.
             self.store_recovered_at = Some(now);
         }
+        self.report_store_batch(call.call, &batch, outputs);
         let batch = match call.call {
             StoreCall::ReadAll { .. } => self.with_implied_removals(batch, now),
             StoreCall::Watch { .. } => self.flag_spurious_removals(batch, now),
@@ -341,6 +350,35 @@
         self.broadcast(batch, BroadcastScope::AllDataCentres, now, outputs);
     }
 
+    /// Reports a read of the registry, and the changes from the store that will be ignored although
+    /// their content is not in force.
+    fn report_store_batch(
+        &mut self,
+        call: StoreCall,
+        batch: &ChangeBatch,
+        outputs: &mut Vec<WatchOutput>,
+    ) {
+        if matches!(call, StoreCall::ReadAll { .. }) {
+            self.registry_reads += 1;
+            outputs.push(WatchOutput::Event(WatchEvent::RegistryRead {
+                revision: batch.through_revision,
+                known_revision: self.registry.revision(),
+            }));
+        }
+        for change in &batch.changes {
+            let Some(entry) = self.registry.entry(&change.key) else { continue };
+            if change.revision > entry.revision || change.value == entry.value {
+                continue;
+            }
+            self.ignored_changes += 1;
+            outputs.push(WatchOutput::Event(WatchEvent::ChangeIgnored {
+                key: change.key.clone(),
+                revision: change.revision,
+                known_revision: entry.revision,
+            }));
+        }
+    }
+
     /// Adds removals of the entries that a complete read no longer contains.
     fn with_implied_removals(&self, mut batch: ChangeBatch, now: Duration) -> ChangeBatch {
         let possibly_spurious = self.recovered_recently(now);
--- a/crates/mustardgrade-core/src/watch/events.rs
+++ b/crates/mustardgrade-core/src/watch/events.rs
@@ -117,6 +117,30 @@
         /// Store revision of the change.
         revision: u64,
     },
+    /// The store has rejected a watch because it does not have the history after the revision.
+    #[display("store has no history after revision={after_revision}")]
+    HistoryUnavailable {
+        /// Revision after which the watch was to continue.
+        after_revision: u64,
+    },
+    /// The store has returned the whole registry.
+    #[display("registry read revision={revision} known_revision={known_revision}")]
+    RegistryRead {
+        /// Revision of the store as of the read.
+        revision: u64,
+        /// Revision up to which the host had applied every change before the read.
+        known_revision: u64,
+    },
+    /// A change from the store was ignored as outdated although its content is not in force.
+    #[display("{key} ignored revision={revision} known_revision={known_revision}")]
+    ChangeIgnored {
+        /// The entry that the change concerns.
+        key: RegistryKey,
+        /// Store revision of the change.
+        revision: u64,
+        /// Store revision of the content in force.
+        known_revision: u64,
+    },
     /// A store call has succeeded after failures.
     #[display("store reachable again after {failed_calls} failed calls")]
     StoreRecovered {
--- a/crates/mustardgrade-core/src/watch/status.rs
+++ b/crates/mustardgrade-core/src/watch/status.rs
@@ -21,4 +21,9 @@
     pub live_hosts: usize,
     /// Number of store calls since the start.
     pub store_calls: u64,
+    /// Number of complete reads of the registry from the store since the start.
+    pub registry_reads: u64,
+    /// Number of changes from the store that were ignored as outdated although their content was not
+    /// in force.
+    pub ignored_changes: u64,
 }
--- a/crates/mustardgrade-node/src/cookie_host/actor.rs
+++ b/crates/mustardgrade-node/src/cookie_host/actor.rs
@@ -204,6 +204,8 @@
         let metrics = &self.resources.metrics;
         metrics.rules_revision.store(status.revision, Ordering::Relaxed);
         metrics.live_hosts.store(status.live_hosts as u64, Ordering::Relaxed);
+        metrics.registry_reads.store(status.registry_reads, Ordering::Relaxed);
+        metrics.ignored_changes.store(status.ignored_changes, Ordering::Relaxed);
     }
 }
 
--- a/crates/mustardgrade-node/src/metrics/registry.rs
+++ b/crates/mustardgrade-node/src/metrics/registry.rs
@@ -124,6 +124,10 @@
     pub store_calls: AtomicU64,
     /// Failed calls to the store.
     pub store_failures: AtomicU64,
+    /// Complete reads of the registry from the store.
+    pub registry_reads: AtomicU64,
+    /// Changes from the store that were ignored as outdated although their content was not in force.
+    pub ignored_changes: AtomicU64,
     /// Time from the receipt of a request to its final reply, by customer, class and outcome.
     pub request_seconds: Family<RequestLabels, Histogram>,
     /// Time from an opening or request on a flow routed by cookie until the caller acknowledges the
@@ -155,6 +159,8 @@
             live_hosts: AtomicU64::new(0),
             store_calls: AtomicU64::new(0),
             store_failures: AtomicU64::new(0),
+            registry_reads: AtomicU64::new(0),
+            ignored_changes: AtomicU64::new(0),
             // 1 ms to 16 s: shorter times are network latency, and no caller waits longer.
             request_seconds: Family::new_with_constructor(|| {
                 Histogram::new(exponential_buckets(0.001, 2.0, 15))
@@ -348,6 +354,16 @@
             ),
             ("store_calls", "Calls to the store", load(&metrics.store_calls)),
             ("store_failures", "Failed calls to the store", load(&metrics.store_failures)),
+            (
+                "registry_reads",
+                "Complete reads of the registry from the store",
+                load(&metrics.registry_reads),
+            ),
+            (
+                "ignored_changes",
+                "Changes from the store ignored as outdated although not in force",
+                load(&metrics.ignored_changes),
+            ),
         ];
         for (name, help, value) in counters {
             let counter = ConstCounter::new(value);
--- a/crates/mustardgrade-node/src/store/client.rs
+++ b/crates/mustardgrade-node/src/store/client.rs
@@ -11,11 +11,14 @@
 use serde::de::DeserializeOwned;
 
 use super::errors::{Result, StoreError};
-use super::http::{HttpClient, check_status};
+use super::http::{HttpClient, check_status, header_number};
 
 /// Timeout of a call; a healthy store answers within milliseconds.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Header with the index of the last change to the key that was read.
+const INDEX_HEADER: &str = "X-Consul-Index";
+
 /// Name under which entry hosts are registered in the service catalogue.
 const CATALOG_SERVICE: &str = "mustardgrade-entry";
 
@@ -159,12 +162,7 @@
         let path = format!("/v1/kv/{key}");
         let request = self.with_token(self.http.get(&path).query(query).timeout(timeout));
         let response = request.send().await?;
-        let index = response
-            .headers()
-            .get("X-Consul-Index")
-            .and_then(|value| value.to_str().ok())
-            .and_then(|text| text.parse().ok())
-            .unwrap_or_default();
+        let index = header_number(&response, INDEX_HEADER).unwrap_or_default();
         if response.status() == reqwest::StatusCode::NOT_FOUND {
             return Ok(ReadReply { value: None, index });
         }
--- a/crates/mustardgrade-node/src/store/http.rs
+++ b/crates/mustardgrade-node/src/store/http.rs
@@ -51,3 +51,9 @@
         false => Err(StoreError::Status(status.as_u16())),
     }
 }
+
+/// Returns the number in a header of a response, if it has one.
+#[must_use]
+pub fn header_number(response: &reqwest::Response, name: &str) -> Option<u64> {
+    response.headers().get(name)?.to_str().ok()?.parse().ok()
+}
--- a/crates/mustardgrade-node/src/store/mod.rs
+++ b/crates/mustardgrade-node/src/store/mod.rs
@@ -11,7 +11,7 @@
     encode_rules,
 };
 pub use errors::{Result, StoreError};
-pub use http::{HttpClient, check_status};
+pub use http::{HttpClient, check_status, header_number};
 
 #[cfg(test)]
 mod tests;
