Failing tests: changes accepted after the store returned from an older copy

The stand-in store of the fleet scenarios can now return from an older copy (restore-store AGE TIME): what was written since is gone, revisions are given out again, a watch from a revision that it does not have gets 410, and writers repeat what it lost within 2 s.

Pass, as guards: a host that starts while the store is older, a drain, a departure and an evacuation that the store lost.

--- a/crates/mustardgrade-standin/src/fleet/actions.rs
+++ b/crates/mustardgrade-standin/src/fleet/actions.rs
@@ -192,6 +192,9 @@
             EventAction::InjectStoreFault { fault, duration } => {
                 self.inject_store_fault(fault, duration)
             }
+            EventAction::RestoreStore { copy_age, downtime } => {
+                self.restore_store(copy_age, downtime)
+            }
             EventAction::PublishManifest => self.publish_next_manifest(),
         }
     }
@@ -286,7 +289,7 @@
         }
     }
 
-    fn inject_store_fault(&mut self, fault: StoreFault, duration: Duration) {
+    pub(super) fn inject_store_fault(&mut self, fault: StoreFault, duration: Duration) {
         let availability = match fault {
             StoreFault::Down => StoreAvailability::Failing,
             StoreFault::LostAnswer => StoreAvailability::Unresponsive,
@@ -304,7 +307,7 @@
     }
 
     /// Ends all faults of the store.
-    pub(super) fn restore_store(&mut self) {
+    pub(super) fn end_store_faults(&mut self) {
         self.store.response_time = super::store::NORMAL_RESPONSE_TIME;
         for host in &mut self.hosts {
             host.store_availability = StoreAvailability::Available;
--- a/crates/mustardgrade-standin/src/fleet/event.rs
+++ b/crates/mustardgrade-standin/src/fleet/event.rs
@@ -1,11 +1,13 @@
 //! Events of the fleet simulation.
 
 use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
 
 use mustardgrade_core::cookie::CookiePacket;
 use mustardgrade_core::watch::{StoreCall, WatchInput};
 
 use super::callers::{CallerEvent, FlowId};
+use super::store::StoreWrite;
 
 /// `FleetEvent` is an event that takes effect at a scheduled time.
 #[derive(Debug, Clone, PartialEq)]
@@ -53,6 +55,10 @@
     StoreFaultEnd,
     /// The warm-up ends; rates are measured from here on.
     WarmUpEnd,
+    /// The store returns from a copy of its state at an earlier time.
+    StoreRestored { copied_at: Duration },
+    /// A writer repeats a write that the store has lost.
+    LostWriteRepeated { write: Box<StoreWrite> },
     /// The fabric checks the health of all hosts.
     HealthCheck,
 }
--- a/crates/mustardgrade-standin/src/fleet/mod.rs
+++ b/crates/mustardgrade-standin/src/fleet/mod.rs
@@ -12,6 +12,7 @@
 mod event;
 mod figures;
 mod hosts;
+mod restore;
 mod store;
 mod upstreams;
 
@@ -155,7 +156,9 @@
             FleetEvent::ProcessExit { host, .. } => self.kill_host(host),
             FleetEvent::StartHost { host } => self.start_host(host, Duration::ZERO),
             FleetEvent::PartitionEnd { data_centre } => self.heal_partition(data_centre),
-            FleetEvent::StoreFaultEnd => self.restore_store(),
+            FleetEvent::StoreFaultEnd => self.end_store_faults(),
+            FleetEvent::StoreRestored { copied_at } => self.return_store_to(copied_at),
+            FleetEvent::LostWriteRepeated { write } => self.repeat_lost_write(*write),
             FleetEvent::WarmUpEnd => {
                 self.measurements.totals_at_warm_up_end =
                     (self.store.call_count, self.measurements.control_bytes);
--- a/crates/mustardgrade-standin/src/fleet/store.rs
+++ b/crates/mustardgrade-standin/src/fleet/store.rs
@@ -9,6 +9,9 @@
 use super::FleetSimulation;
 use super::event::FleetEvent;
 
+/// Revision of the empty store.
+const FIRST_REVISION: u64 = 1;
+
 /// Response time of the store without a fault.
 pub(super) const NORMAL_RESPONSE_TIME: Duration = Duration::from_millis(4);
 
@@ -33,11 +36,23 @@
     after_revision: u64,
 }
 
+/// `StoreWrite` is an accepted write.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) struct StoreWrite {
+    pub(super) key: RegistryKey,
+    pub(super) value: RegistryValue,
+    pub(super) written_at: Duration,
+}
+
 /// `SimulatedStore` holds the registry, its change history and the pending watches.
 #[derive(Debug)]
 pub(super) struct SimulatedStore {
     entries: BTreeMap<RegistryKey, RegistryChange>,
     change_log: Vec<RegistryChange>,
+    /// Accepted writes in order, from which the state at an earlier time can be computed.
+    writes: Vec<StoreWrite>,
+    /// Number of writes in the copy that the store was last restored from.
+    restored_writes: usize,
     revision: u64,
     pending_watches: Vec<PendingWatch>,
     /// Time from a call, or from the change that ends a watch, to the result.
@@ -53,7 +68,9 @@
         Self {
             entries: BTreeMap::new(),
             change_log: Vec::new(),
-            revision: 1,
+            writes: Vec::new(),
+            restored_writes: 0,
+            revision: FIRST_REVISION,
             pending_watches: Vec::new(),
             response_time: NORMAL_RESPONSE_TIME,
             oldest_watch_revision: 0,
@@ -64,9 +81,11 @@
 
 impl SimulatedStore {
     /// Applies a write under a new revision and appends it to the change log.
-    fn apply_change(&mut self, key: RegistryKey, value: RegistryValue) {
+    fn apply_write(&mut self, write: StoreWrite) {
         self.revision += 1;
         let revision = self.revision;
+        let StoreWrite { key, value, .. } = write.clone();
+        self.writes.push(write);
         let change = RegistryChange { key: key.clone(), revision, value, age: Duration::ZERO };
         match change.value {
             RegistryValue::Removed { .. } => self.entries.remove(&key),
@@ -75,6 +94,25 @@
         self.change_log.push(change);
     }
 
+    /// Returns to the state of an earlier time; returns the writes that this undoes.
+    pub(super) fn return_to(&mut self, copied_at: Duration) -> Vec<StoreWrite> {
+        let copy_length = self.writes.partition_point(|write| write.written_at <= copied_at);
+        let lost_writes = self.writes.split_off(copy_length);
+        self.entries.clear();
+        self.change_log.clear();
+        self.revision = FIRST_REVISION;
+        for write in std::mem::take(&mut self.writes) {
+            self.apply_write(write);
+        }
+        self.restored_writes = copy_length;
+        lost_writes
+    }
+
+    /// Returns whether a key has been written since the store was last restored.
+    pub(super) fn is_written_since_restore(&self, key: &RegistryKey) -> bool {
+        self.writes[self.restored_writes..].iter().any(|write| write.key == *key)
+    }
+
     fn changes_after(&self, after_revision: u64) -> ChangeBatch {
         let first_index =
             self.change_log.partition_point(|change| change.revision <= after_revision);
@@ -97,7 +135,8 @@
                 }))
             }
             StoreCall::Watch { after_revision, .. }
-                if *after_revision < self.oldest_watch_revision =>
+                if *after_revision < self.oldest_watch_revision
+                    || *after_revision > self.revision =>
             {
                 Some(Err(StoreFailure::HistoryCompacted))
             }
@@ -111,7 +150,7 @@
 impl FleetSimulation {
     /// Writes an entry to the store, and completes all pending watches.
     pub(super) fn write_entry(&mut self, key: RegistryKey, value: RegistryValue) {
-        self.store.apply_change(key, value);
+        self.store.apply_write(StoreWrite { key, value, written_at: self.now });
         for watch in std::mem::take(&mut self.store.pending_watches) {
             let batch = self.store.changes_after(watch.after_revision);
             self.send_store_result(watch.host, watch.incarnation, watch.call_id, Ok(batch));
@@ -162,6 +201,14 @@
         }
     }
 
+    /// Fails all pending watches, as when their connections are reset.
+    pub(super) fn fail_pending_watches(&mut self) {
+        for watch in std::mem::take(&mut self.store.pending_watches) {
+            let failure = StoreFailure::Failed("connection reset".to_owned());
+            self.send_store_result(watch.host, watch.incarnation, watch.call_id, Err(failure));
+        }
+    }
+
     fn send_store_result(
         &mut self,
         host: usize,
--- a/crates/mustardgrade-standin/src/fleet/tests/mod.rs
+++ b/crates/mustardgrade-standin/src/fleet/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of fleets in steady state, at startup and during faults.
 
 mod outages;
+mod restores;
 mod startup;
 
 use std::net::{Ipv4Addr, SocketAddrV4};
--- a/crates/mustardgrade-standin/src/scenario/grammar.rs
+++ b/crates/mustardgrade-standin/src/scenario/grammar.rs
@@ -30,7 +30,7 @@
 ];
 
 /// Keywords of actions in `at` statements, from which errors suggest the nearest.
-const ACTION_KEYWORDS: [&str; 18] = [
+const ACTION_KEYWORDS: [&str; 19] = [
     "drain",
     "serve",
     "gone",
@@ -43,6 +43,7 @@
     "cut",
     "data-centre",
     "store",
+    "restore-store",
     "turn-cold",
     "restart-upstream",
     "reuse-address",
@@ -325,6 +326,10 @@
             fault: parse_store_fault(cursor)?,
             duration: cursor.expect_duration("length of the fault")?,
         },
+        "restore-store" => EventAction::RestoreStore {
+            copy_age: cursor.expect_duration("age of the copy")?,
+            downtime: cursor.expect_duration("time without the store")?,
+        },
         "turn-cold" => EventAction::TurnUpstreamCold(cursor.expect_text("name of the upstream")?),
         "reuse-address" => EventAction::ReuseUpstreamAddress {
             upstream: cursor.expect_text("name of the upstream")?,
--- a/crates/mustardgrade-standin/src/scenario/model.rs
+++ b/crates/mustardgrade-standin/src/scenario/model.rs
@@ -184,6 +184,14 @@
         /// New state of the data centre.
         state: DataCentreState,
     },
+    /// The store fails and returns from an older copy of itself. It has lost what was written since
+    /// the copy, until the writers write it again.
+    RestoreStore {
+        /// Age of the copy when the store fails.
+        copy_age: Duration,
+        /// Time for which the store is down.
+        downtime: Duration,
+    },
     /// Injects a fault into the store for a time.
     InjectStoreFault {
         /// Kind of the fault.
--- a/crates/mustardgrade-standin/src/world/actions.rs
+++ b/crates/mustardgrade-standin/src/world/actions.rs
@@ -111,6 +111,7 @@
             // Not supported: this simulation has neither a manifest nor a registry of upstreams;
             // only that of cookie routing has them.
             EventAction::ReuseUpstreamAddress { .. }
+            | EventAction::RestoreStore { .. }
             | EventAction::KillWatchingHosts
             | EventAction::PowerLoss(_)
             | EventAction::PublishManifest => self.counters.unknown_names += 1,
