--- a/crates/mustardgrade-core/src/cookie/snapshot.rs
+++ b/crates/mustardgrade-core/src/cookie/snapshot.rs
@@ -8,7 +8,7 @@
 use crate::identity::{DataCentreId, ServiceId};
 use crate::registry::{
     Manifest, RegisteredState, RegistryEntry, RegistryKey, RegistryTable, RegistryValue,
-    RouteBackend, RouteConfig,
+    RouteBackend, RouteConfig, StorePosition,
 };
 
 /// Time for which an upstream still gets new flows after a removal that may be an effect of a store
@@ -94,8 +94,8 @@
     pub is_loaded: bool,
     /// Version of the manifest that the routes come from.
     pub manifest_version: u64,
-    /// Store revision up to which registry changes are included.
-    pub store_revision: u64,
+    /// Position in the store's history up to which registry changes are included.
+    pub store_position: StorePosition,
     /// Time without packets after which a flow is removed from the flow table.
     pub idle_timeout: Duration,
     /// Routes by the address that callers use.
@@ -162,7 +162,7 @@
     CookieSnapshot {
         is_loaded: true,
         manifest_version: manifest.version,
-        store_revision: registry.revision(),
+        store_position: registry.position(),
         idle_timeout: manifest.idle_timeout,
         // Later entries replace earlier ones; reversed, so that the first route of an address wins.
         routes: manifest
--- a/crates/mustardgrade-core/src/cookie/tests/fixtures.rs
+++ b/crates/mustardgrade-core/src/cookie/tests/fixtures.rs
@@ -12,7 +12,7 @@
 use crate::identity::{DataCentreId, ServiceId};
 use crate::registry::{
     Manifest, RegisteredState, RegistryChange, RegistryKey, RegistryTable, RegistryValue,
-    RetryPolicy, RouteBackend, RouteConfig, ServiceConfig, UpstreamRegistration,
+    RetryPolicy, RouteBackend, RouteConfig, ServiceConfig, StorePosition, UpstreamRegistration,
 };
 
 /// Address of the route `desk`, whose requests are idempotent.
@@ -68,9 +68,9 @@
 
     pub(super) fn apply_change(&mut self, key: RegistryKey, value: RegistryValue, now: Duration) {
         self.revision += 1;
-        let change = RegistryChange { key, revision: self.revision, value, age: Duration::ZERO };
-        self.table.apply(change, now);
-        self.table.mark_complete(self.revision);
+        let position = StorePosition { epoch: 1, revision: self.revision };
+        self.table.apply(RegistryChange { key, position, value, age: Duration::ZERO }, now);
+        self.table.mark_complete(position);
     }
 
     /// Adds or replaces the entry of an upstream.
--- a/crates/mustardgrade-core/src/registry/mod.rs
+++ b/crates/mustardgrade-core/src/registry/mod.rs
@@ -3,11 +3,14 @@
 
 mod errors;
 mod manifest;
+mod position;
+mod setback;
 mod table;
 mod upstream;
 
 pub use errors::{RegistryError, Result};
 pub use manifest::{Manifest, RetryPolicy, RouteBackend, RouteConfig, ServiceConfig};
+pub use position::StorePosition;
 pub use table::{
     ApplyOutcome, RegistryChange, RegistryEntry, RegistryKey, RegistryTable, RegistryValue,
 };
--- a/crates/mustardgrade-core/src/registry/table.rs
+++ b/crates/mustardgrade-core/src/registry/table.rs
@@ -1,6 +1,6 @@
 //! The registry entries that a host has applied, with tombstones of removed ones.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,11 +8,17 @@
 use serde::{Deserialize, Serialize};
 
 use super::manifest::Manifest;
+use super::position::StorePosition;
+use super::setback::is_setback;
 use super::upstream::UpstreamRegistration;
 
 /// Time for which removed entries are kept as tombstones; flows live no longer than this.
 const TOMBSTONE_RETENTION: Duration = Duration::from_secs(75);
 
+/// Time for which knowledge from a lost history prevails over a restored store that contradicts it;
+/// meanwhile, the writers write again what the store has lost.
+const SETBACK_DEFERRAL: Duration = Duration::from_millis(2_500);
+
 /// `RegistryKey` identifies an entry.
 #[derive(Debug, Display, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -50,15 +56,15 @@
     },
 }
 
-/// `RegistryChange` sets an entry to the value that it has as of a revision.
+/// `RegistryChange` sets an entry to the value that it has as of a position.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RegistryChange {
     /// The entry that changes.
     pub key: RegistryKey,
-    /// Store revision of the change.
-    pub revision: u64,
-    /// Content of the entry from this revision on.
+    /// Position of the change in the store's history.
+    pub position: StorePosition,
+    /// Content of the entry from this position on.
     pub value: RegistryValue,
     /// Time since any host first learned of the change.
     pub age: Duration,
@@ -67,9 +73,9 @@
 /// `RegistryEntry` is an entry that has been applied.
 #[derive(Debug, Clone, PartialEq)]
 pub struct RegistryEntry {
-    /// Store revision of the last change.
-    pub revision: u64,
-    /// Content as of that revision.
+    /// Position of the last change in the store's history.
+    pub position: StorePosition,
+    /// Content as of that position.
     pub value: RegistryValue,
     /// Time at which any host first learned of the last change.
     pub learned_at: Duration,
@@ -77,30 +83,45 @@
     pub previous_registration: Option<Arc<UpstreamRegistration>>,
 }
 
-/// `ApplyOutcome` says whether a change was applied.
+/// `ApplyOutcome` says what became of a change.
 #[derive(Debug, Display, Clone, Copy, PartialEq, Eq)]
 pub enum ApplyOutcome {
     /// The change has been applied.
     #[display("applied")]
     Applied,
+    /// The restored store has the content that is in force already; only the position is new.
+    #[display("unchanged")]
+    Unchanged,
+    /// The change contradicts newer knowledge from a lost history and takes effect later.
+    #[display("deferred")]
+    Deferred,
     /// The change was ignored: the entry is as new as the change, or newer.
     #[display("known")]
     Outdated,
 }
 
-/// `RegistryTable` holds all entries; an entry never returns to an older revision.
+/// `DeferredChange` is a change that takes effect unless a newer one arrives before.
+#[derive(Debug, Clone, PartialEq)]
+struct DeferredChange {
+    change: RegistryChange,
+    due_at: Duration,
+}
+
+/// `RegistryTable` holds all entries; an entry never returns to an older position, nor the manifest
+/// to an older version.
 #[derive(Debug, Clone, Default)]
 pub struct RegistryTable {
     entries: BTreeMap<RegistryKey, RegistryEntry>,
-    complete_revision: u64,
-    purged_revision: u64,
+    deferred_changes: BTreeMap<RegistryKey, DeferredChange>,
+    complete_position: StorePosition,
+    purged_position: StorePosition,
 }
 
 impl RegistryTable {
-    /// Returns the revision up to which every change has been applied.
+    /// Returns the position up to which every change has been applied.
     #[must_use]
-    pub fn revision(&self) -> u64 {
-        self.complete_revision
+    pub fn position(&self) -> StorePosition {
+        self.complete_position
     }
 
     /// Returns the manifest that was applied last.
@@ -115,6 +136,12 @@
         }
     }
 
+    /// Returns the version of the manifest; 0 if there is none.
+    #[must_use]
+    pub fn manifest_version(&self) -> u64 {
+        self.manifest().map_or(0, |manifest| manifest.version)
+    }
+
     /// Returns all entries in the order of their keys, tombstones included.
     pub fn entries(&self) -> impl Iterator<Item = (&RegistryKey, &RegistryEntry)> {
         self.entries.iter()
@@ -126,20 +153,63 @@
         self.entries.get(key)
     }
 
-    /// Applies a change unless the entry already has the same revision or a newer one.
+    /// Returns whether the table has a change of the same key that is as new, or newer.
     ///
-    /// A manifest with a lower version is ignored as well: the store orders manifests by version.
+    /// Manifests are ordered by version first: a restored store may hold an older one for a while.
+    #[must_use]
+    pub fn is_outdated(&self, change: &RegistryChange) -> bool {
+        if change.key == RegistryKey::Manifest {
+            return self.is_outdated_manifest(change);
+        }
+        self.newest_position(&change.key).is_some_and(|position| position >= change.position)
+    }
+
+    fn is_outdated_manifest(&self, change: &RegistryChange) -> bool {
+        let Some(known) = self.manifest() else { return false };
+        // The last manifest stays in force even if the store has none.
+        let RegistryValue::Manifest(manifest) = &change.value else { return true };
+        let known_position = self.newest_position(&change.key).unwrap_or_default();
+        (manifest.version, change.position) <= (known.version, known_position)
+    }
+
+    fn newest_position(&self, key: &RegistryKey) -> Option<StorePosition> {
+        let deferred = self.deferred_changes.get(key).map(|deferred| deferred.change.position);
+        deferred.or_else(|| Some(self.entries.get(key)?.position))
+    }
+
+    /// Applies a change unless it is outdated, or defers it if it comes from a restored store and
+    /// contradicts newer knowledge from the lost history.
     pub fn apply(&mut self, change: RegistryChange, now: Duration) -> ApplyOutcome {
-        let current = self.entries.get(&change.key);
-        if current.is_some_and(|entry| entry.revision >= change.revision) {
+        if self.is_outdated(&change) {
             return ApplyOutcome::Outdated;
         }
-        if let (RegistryValue::Manifest(manifest), Some(current_manifest)) =
-            (&change.value, self.manifest())
-            && manifest.version < current_manifest.version
-        {
-            return ApplyOutcome::Outdated;
+        let setback = self.entries.get(&change.key).is_some_and(|entry| {
+            change.position.epoch > entry.position.epoch && is_setback(entry, &change.value)
+        });
+        if setback {
+            self.defer(change, now);
+            return ApplyOutcome::Deferred;
         }
+        self.replace_entry(change, now)
+    }
+
+    fn defer(&mut self, change: RegistryChange, now: Duration) {
+        let earlier = self.deferred_changes.get(&change.key);
+        let due_at = earlier.map_or(now + SETBACK_DEFERRAL, |deferred| deferred.due_at);
+        self.deferred_changes.insert(change.key.clone(), DeferredChange { change, due_at });
+    }
+
+    fn replace_entry(&mut self, change: RegistryChange, now: Duration) -> ApplyOutcome {
+        self.deferred_changes.remove(&change.key);
+        let current = self.entries.get_mut(&change.key);
+        let is_same_write = |entry: &RegistryEntry| {
+            entry.position.epoch < change.position.epoch && entry.value == change.value
+        };
+        if let Some(entry) = current.filter(|entry| is_same_write(entry)) {
+            entry.position = change.position;
+            return ApplyOutcome::Unchanged;
+        }
+        let current = self.entries.get(&change.key);
         let previous_registration = current.and_then(|entry| match &entry.value {
             RegistryValue::Upstream(registration) => Some(Arc::clone(registration)),
             RegistryValue::Manifest(_)
@@ -148,7 +218,7 @@
             | RegistryValue::Removed { .. } => entry.previous_registration.clone(),
         });
         let entry = RegistryEntry {
-            revision: change.revision,
+            position: change.position,
             value: change.value,
             learned_at: now.saturating_sub(change.age),
             previous_registration,
@@ -157,50 +227,82 @@
         ApplyOutcome::Applied
     }
 
-    /// Records that every change up to `revision` has been applied.
-    pub fn mark_complete(&mut self, revision: u64) {
-        self.complete_revision = self.complete_revision.max(revision);
+    /// Applies the deferred changes that are due, and returns those that changed an entry.
+    pub fn apply_due_changes(&mut self, now: Duration) -> Vec<RegistryChange> {
+        let is_due = |deferred: &DeferredChange| deferred.due_at <= now;
+        let due: Vec<RegistryChange> = self
+            .deferred_changes
+            .values()
+            .filter(|deferred| is_due(deferred))
+            .map(|deferred| deferred.change.clone())
+            .collect();
+        let mut applied = Vec::new();
+        for change in due {
+            if self.replace_entry(change.clone(), now) == ApplyOutcome::Applied {
+                applied.push(change);
+            }
+        }
+        applied
     }
 
-    /// Returns removals of the entries that are missing from a complete read as of `revision`.
+    /// Records that every change up to `position` has been applied.
+    pub fn mark_complete(&mut self, position: StorePosition) {
+        self.complete_position = self.complete_position.max(position);
+    }
+
+    /// Returns removals of the entries that are missing from a complete read as of `position`.
+    ///
+    /// The manifest is never removed in this way: without it, no flow could be routed.
     #[must_use]
     pub fn implied_removals(
         &self,
         complete_read: &[RegistryChange],
-        revision: u64,
+        position: StorePosition,
         possibly_spurious: bool,
     ) -> Vec<RegistryChange> {
-        let present: std::collections::HashSet<&RegistryKey> =
+        let present: HashSet<&RegistryKey> =
             complete_read.iter().map(|change| &change.key).collect();
         let missing = self.entries.iter().filter(|(key, entry)| {
-            !present.contains(key)
-                && entry.revision <= revision
-                && !matches!(entry.value, RegistryValue::Removed { .. })
+            let is_removed = matches!(entry.value, RegistryValue::Removed { .. })
+                && !self.deferred_changes.contains_key(key);
+            **key != RegistryKey::Manifest
+                && !present.contains(key)
+                && entry.position <= position
+                && !is_removed
         });
         let to_removal = |(key, _): (&RegistryKey, &RegistryEntry)| RegistryChange {
             key: key.clone(),
-            revision,
+            position,
             value: RegistryValue::Removed { possibly_spurious },
             age: Duration::ZERO,
         };
         missing.map(to_removal).collect()
     }
 
-    /// Returns the changes after `revision`, or all entries if tombstones after it were purged.
+    /// Returns the changes after `after`, or all entries if the changes since then are not known in
+    /// full: tombstones after it were purged, or it lies in another epoch.
     ///
-    /// The flag is true if the result holds only the changes after `revision`.
+    /// The flag is true if the result holds only the changes after `after`.
     #[must_use]
-    pub fn changes_since(&self, revision: u64, now: Duration) -> (Vec<RegistryChange>, bool) {
-        let incremental = revision >= self.purged_revision && revision > 0;
-        let after_revision = if incremental { revision } else { 0 };
-        let newer = self.entries.iter().filter(|(_, entry)| entry.revision > after_revision);
+    pub fn changes_since(
+        &self,
+        after: StorePosition,
+        now: Duration,
+    ) -> (Vec<RegistryChange>, bool) {
+        let incremental = !after.is_origin()
+            && after.epoch == self.complete_position.epoch
+            && after >= self.purged_position;
+        let after = if incremental { after } else { StorePosition::ORIGIN };
+        let newer = self.entries.iter().filter(|(_, entry)| entry.position > after);
         let to_change = |(key, entry): (&RegistryKey, &RegistryEntry)| RegistryChange {
             key: key.clone(),
-            revision: entry.revision,
+            position: entry.position,
             value: entry.value.clone(),
             age: now.saturating_sub(entry.learned_at),
         };
-        (newer.map(to_change).collect(), incremental)
+        let deferred = self.deferred_changes.values().map(|deferred| deferred.change.clone());
+        let newer_deferred = deferred.filter(|change| change.position > after);
+        (newer.map(to_change).chain(newer_deferred).collect(), incremental)
     }
 
     /// Drops tombstones that no live flow can depend on any more.
@@ -209,9 +311,9 @@
             matches!(entry.value, RegistryValue::Removed { .. })
                 && now.saturating_sub(entry.learned_at) > TOMBSTONE_RETENTION
         };
-        let purged_revisions =
-            self.entries.values().filter(|entry| is_expired(entry)).map(|entry| entry.revision);
-        self.purged_revision = purged_revisions.max().unwrap_or_default().max(self.purged_revision);
+        let purged_positions =
+            self.entries.values().filter(|entry| is_expired(entry)).map(|entry| entry.position);
+        self.purged_position = purged_positions.max().unwrap_or_default().max(self.purged_position);
         self.entries.retain(|_, entry| !is_expired(entry));
     }
 }
--- a/crates/mustardgrade-core/src/watch/controller.rs
+++ b/crates/mustardgrade-core/src/watch/controller.rs
@@ -1,23 +1,22 @@
 //! The controller of a host's registry replica, free of I/O.
 
-use std::collections::{HashMap, HashSet};
-use std::net::{Ipv4Addr, SocketAddrV4};
+use std::collections::HashMap;
+use std::net::Ipv4Addr;
 use std::time::Duration;
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use super::events::{StoreCall, StoreFailure, WatchEvent, WatchInput, WatchOutput};
+use super::events::{StoreCall, WatchEvent, WatchInput, WatchOutput};
 use super::fleet_view::FleetView;
 use super::gossip::BroadcastScope;
-use super::message::{ChangeBatch, FleetDigest, FleetMemberState, FleetMessage, saturating_millis};
+use super::message::{ChangeBatch, FleetMemberState, FleetMessage, saturating_millis};
 use super::options::WatchOptions;
 use super::peer_loads::PeerLoadTable;
 use super::status::WatchStatus;
 use super::store_calls::is_seed_host;
 use crate::cookie::{CookieSnapshot, SnapshotContext, build_cookie_snapshot};
-use crate::identity::{DataCentreId, ServiceId};
-use crate::registry::{ApplyOutcome, Manifest, RegistryKey, RegistryTable, RegistryValue};
+use crate::registry::{RegistryTable, StorePosition};
 
 /// Interval between regular digests.
 const DIGEST_INTERVAL: Duration = Duration::from_millis(400);
@@ -26,12 +25,6 @@
 /// stall are discarded.
 const STALL_THRESHOLD: Duration = Duration::from_millis(1_000);
 
-/// Time after the store's recovery in which removals may be an effect of its outage.
-const SPURIOUS_REMOVAL_WINDOW: Duration = Duration::from_millis(2_500);
-
-/// Minimum interval between requests for changes to the same peer.
-const PEER_REQUEST_INTERVAL: Duration = Duration::from_millis(300);
-
 /// Delay after the start before the host count is reliable enough to divide fleet-wide rate limits.
 const HOST_COUNT_DELAY: Duration = Duration::from_secs(3);
 
@@ -128,8 +121,8 @@
     pub fn status(&self, now: Duration) -> WatchStatus {
         WatchStatus {
             state: self.state,
-            revision: self.registry.revision(),
-            manifest_version: self.registry.manifest().map_or(0, |manifest| manifest.version),
+            position: self.registry.position(),
+            manifest_version: self.registry.manifest_version(),
             confirmation_age: self.confirmed_at.map(|at| now.saturating_sub(at)),
             watching: self.watching,
             live_hosts: self.fleet.live(now).count() + 1,
@@ -151,14 +144,14 @@
         build_cookie_snapshot(&self.registry, &self.snapshot_context)
     }
 
-    /// Returns the changes after `revision`, which another host has requested.
+    /// Returns the changes after a position, which another host has requested.
     ///
-    /// The batch holds all entries if the changes since then are no longer known in full.
+    /// The batch holds all entries if the changes since then are not known in full.
     #[must_use]
-    pub fn changes_after(&self, revision: u64, now: Duration) -> ChangeBatch {
-        let (changes, incremental) = self.registry.changes_since(revision, now);
-        let after_revision = if incremental { revision } else { 0 };
-        ChangeBatch { after_revision, through_revision: self.registry.revision(), changes }
+    pub fn changes_after(&self, after: StorePosition, now: Duration) -> ChangeBatch {
+        let (changes, incremental) = self.registry.changes_since(after, now);
+        let after = if incremental { after } else { StorePosition::ORIGIN };
+        ChangeBatch { after, through: self.registry.position(), changes }
     }
 
     /// Processes an input and appends the resulting actions to `outputs`.
@@ -192,6 +185,7 @@
         if self.peer_loads.remove_expired(now) {
             outputs.push(WatchOutput::InstallPeerLoads(self.peer_loads.total()));
         }
+        self.apply_deferred_changes(now, outputs);
         self.introduce_to_seed_hosts(now, outputs);
         self.probe_before_takeover(now, outputs);
         if self.isolated_since.is_some() {
@@ -245,7 +239,7 @@
             outputs.push(WatchOutput::Send { to: from, message });
         }
         if let FleetMessage::Changes(_, batch) = message
-            && batch.after_revision <= self.registry.revision()
+            && self.registry.position().continues_with(batch.after)
             && self.apply_batch(batch, now, outputs)
         {
             let scope = match digest.sender.data_centre == self.options.data_centre {
@@ -254,246 +248,7 @@
             };
             self.broadcast(Some(batch.clone()), scope, now, outputs);
         }
-        self.compare_revision(digest, now, outputs);
-    }
-
-    /// Requests changes if a digest names a newer revision; otherwise adopts its confirmation.
-    fn compare_revision(
-        &mut self,
-        digest: &FleetDigest,
-        now: Duration,
-        outputs: &mut Vec<WatchOutput>,
-    ) {
-        if digest.revision > self.registry.revision() {
-            self.request_changes(digest.sender.address, now, outputs);
-        } else if let Some(age_ms) = digest.confirmation_age_ms {
-            let confirmed_at = now.saturating_sub(Duration::from_millis(u64::from(age_ms)));
-            self.confirmed_at =
-                Some(self.confirmed_at.map_or(confirmed_at, |latest| latest.max(confirmed_at)));
-        }
-    }
-
-    fn request_changes(&mut self, to: Ipv4Addr, now: Duration, outputs: &mut Vec<WatchOutput>) {
-        let recently = |at: &Duration| now.saturating_sub(*at) < PEER_REQUEST_INTERVAL;
-        self.pending_change_requests.retain(|_, at| recently(at));
-        if self.pending_change_requests.len() < 2 && !self.pending_change_requests.contains_key(&to)
-        {
-            self.pending_change_requests.insert(to, now);
-            outputs
-                .push(WatchOutput::RequestChanges { to, after_revision: self.registry.revision() });
-        }
-    }
-
-    fn handle_changes(
-        &mut self,
-        from: Ipv4Addr,
-        batch: Option<ChangeBatch>,
-        now: Duration,
-        outputs: &mut Vec<WatchOutput>,
-    ) {
-        self.pending_change_requests.remove(&from);
-        let Some(batch) = batch.filter(|batch| batch.after_revision <= self.registry.revision())
-        else {
-            return;
-        };
-        let starting = self.state == FleetMemberState::Starting;
-        self.apply_batch(&batch, now, outputs);
-        if starting && self.state == FleetMemberState::Ready {
-            self.broadcast(None, BroadcastScope::AllDataCentres, now, outputs);
-        }
-    }
-
-    pub(super) fn handle_store_result(
-        &mut self,
-        result: std::result::Result<ChangeBatch, StoreFailure>,
-        now: Duration,
-        outputs: &mut Vec<WatchOutput>,
-    ) {
-        let Some(call) = self.call_in_progress.take() else { return };
-        let batch = match result {
-            Ok(batch) => batch,
-            Err(StoreFailure::HistoryCompacted) => {
-                let after_revision = self.registry.revision();
-                outputs.push(WatchOutput::Event(WatchEvent::HistoryUnavailable { after_revision }));
-                self.start_call(StoreCall::ReadAll { allow_stale: false }, now, outputs);
-                return;
-            }
-            Err(StoreFailure::Failed(cause)) => {
-                return self.handle_store_failure(cause, now, outputs);
-            }
-        };
-        if self.consecutive_failures > 0 {
-            let failed_calls = std::mem::take(&mut self.consecutive_failures);
-            self.store_recovered_at = Some(now);
-            outputs.push(WatchOutput::Event(WatchEvent::StoreRecovered { failed_calls }));
-        } else if !self.is_confirmation_fresh(now) {
-            // No host has confirmed the registry lately, so the store may have had an outage.
-            self.store_recovered_at = Some(now);
-        }
-        self.report_store_batch(call.call, &batch, outputs);
-        let batch = match call.call {
-            StoreCall::ReadAll { .. } => self.with_implied_removals(batch, now),
-            StoreCall::Watch { .. } => self.flag_spurious_removals(batch, now),
-        };
-        let changed = self.apply_batch(&batch, now, outputs);
-        let allowed_stale = matches!(call.call, StoreCall::ReadAll { allow_stale: true });
-        if !allowed_stale && !call.spans_stall {
-            self.confirmed_at = Some(now);
-        }
-        let delay = if batch.changes.is_empty() {
-            Duration::ZERO
-        } else {
-            self.options.schedule.coalescing_delay
-        };
-        self.next_call_at = now + if allowed_stale { Duration::ZERO } else { delay };
-        let batch = (changed && batch.after_revision > 0).then_some(batch);
-        self.broadcast(batch, BroadcastScope::AllDataCentres, now, outputs);
-    }
-
-    /// Reports a read of the registry, and the changes from the store that will be ignored although
-    /// their content is not in force.
-    fn report_store_batch(
-        &mut self,
-        call: StoreCall,
-        batch: &ChangeBatch,
-        outputs: &mut Vec<WatchOutput>,
-    ) {
-        if matches!(call, StoreCall::ReadAll { .. }) {
-            self.registry_reads += 1;
-            outputs.push(WatchOutput::Event(WatchEvent::RegistryRead {
-                revision: batch.through_revision,
-                known_revision: self.registry.revision(),
-            }));
-        }
-        for change in &batch.changes {
-            let Some(entry) = self.registry.entry(&change.key) else { continue };
-            if change.revision > entry.revision || change.value == entry.value {
-                continue;
-            }
-            self.ignored_changes += 1;
-            outputs.push(WatchOutput::Event(WatchEvent::ChangeIgnored {
-                key: change.key.clone(),
-                revision: change.revision,
-                known_revision: entry.revision,
-            }));
-        }
-    }
-
-    /// Adds removals of the entries that a complete read no longer contains.
-    fn with_implied_removals(&self, mut batch: ChangeBatch, now: Duration) -> ChangeBatch {
-        let possibly_spurious = self.recovered_recently(now);
-        let removals = self.registry.implied_removals(
-            &batch.changes,
-            batch.through_revision,
-            possibly_spurious,
-        );
-        batch.changes.extend(removals);
-        batch
-    }
-
-    /// Flags removals as possibly spurious shortly after a store outage.
-    fn flag_spurious_removals(&self, mut batch: ChangeBatch, now: Duration) -> ChangeBatch {
-        if self.recovered_recently(now) {
-            for change in &mut batch.changes {
-                if let RegistryValue::Removed { possibly_spurious } = &mut change.value {
-                    *possibly_spurious = true;
-                }
-            }
-        }
-        batch
-    }
-
-    /// Returns whether the store recovered within [`SPURIOUS_REMOVAL_WINDOW`].
-    fn recovered_recently(&self, now: Duration) -> bool {
-        self.store_recovered_at.is_some_and(|at| now.saturating_sub(at) < SPURIOUS_REMOVAL_WINDOW)
-    }
-
-    /// Applies a batch; returns true if an entry or the host's state changed.
-    fn apply_batch(
-        &mut self,
-        batch: &ChangeBatch,
-        now: Duration,
-        outputs: &mut Vec<WatchOutput>,
-    ) -> bool {
-        let mut changed = false;
-        for change in &batch.changes {
-            if let RegistryValue::Manifest(manifest) = &change.value
-                && let Err(error) = manifest.validate()
-            {
-                // Apply it nevertheless: the store has accepted it, so it is in force, and one
-                // invalid route must not hold back the others.
-                let cause = error.to_string();
-                outputs.push(WatchOutput::Event(WatchEvent::InvalidRoute { cause }));
-            }
-            let previous_manifest = self.registry.manifest().cloned();
-            if self.registry.apply(change.clone(), now) == ApplyOutcome::Outdated {
-                continue;
-            }
-            changed = true;
-            self.report_change(&change.key, &change.value, change.revision, now, outputs);
-            if let RegistryValue::Manifest(manifest) = &change.value {
-                self.track_past_routes(previous_manifest.as_deref(), manifest);
-            }
-        }
-        self.registry.mark_complete(batch.through_revision);
-        if self.registry.manifest().is_some() && self.state == FleetMemberState::Starting {
-            self.state = FleetMemberState::Ready;
-            changed = true;
-        }
-        if changed {
-            outputs.push(WatchOutput::InstallSnapshot);
-        }
-        changed
-    }
-
-    /// Emits the event of an applied change and records when an evacuation ended.
-    fn report_change(
-        &mut self,
-        key: &RegistryKey,
-        value: &RegistryValue,
-        revision: u64,
-        now: Duration,
-        outputs: &mut Vec<WatchOutput>,
-    ) {
-        let state = match value {
-            RegistryValue::Manifest(manifest) => {
-                let version = manifest.version;
-                outputs.push(WatchOutput::Event(WatchEvent::ManifestApplied { version, revision }));
-                return;
-            }
-            RegistryValue::Evacuated => "evacuated",
-            RegistryValue::Upstream(registration) => match registration.state {
-                crate::registry::RegisteredState::Ready => "ready",
-                crate::registry::RegisteredState::Draining => "draining",
-            },
-            RegistryValue::Unusable => "unusable",
-            RegistryValue::Removed { possibly_spurious: true } => "lapsed",
-            RegistryValue::Removed { possibly_spurious: false } => "removed",
-        };
-        if let (RegistryKey::Evacuation(name), RegistryValue::Removed { .. }) = (key, value) {
-            self.snapshot_context.evacuation_ends.insert(DataCentreId::from_name(name), now);
-        }
-        outputs.push(WatchOutput::Event(WatchEvent::EntryChanged {
-            key: key.clone(),
-            state,
-            revision,
-        }));
-    }
-
-    /// Records services and addresses of the previous manifest that open flows may still use.
-    fn track_past_routes(&mut self, previous: Option<&Manifest>, manifest: &Manifest) {
-        let current_addresses: HashSet<SocketAddrV4> =
-            manifest.routes.iter().map(|route| route.address).collect();
-        let previous_routes =
-            previous.map(|previous| previous.routes.as_slice()).unwrap_or_default();
-        for route in previous_routes {
-            let services: HashSet<ServiceId> = route.backends.iter().map(|b| b.service).collect();
-            self.snapshot_context.past_services.entry(route.address).or_default().extend(services);
-            if !current_addresses.contains(&route.address) {
-                self.snapshot_context.dropped_routes.insert(route.address);
-            }
-        }
-        self.snapshot_context.dropped_routes.retain(|address| !current_addresses.contains(address));
+        self.compare_position(digest, now, outputs);
     }
 
     /// Updates the number of local hosts and the recent peak of live hosts, by which fleet-wide
--- a/crates/mustardgrade-core/src/watch/events.rs
+++ b/crates/mustardgrade-core/src/watch/events.rs
@@ -7,7 +7,7 @@
 
 use super::message::{ChangeBatch, FleetMessage};
 use crate::cookie::{LoadReport, PeerLoads};
-use crate::registry::RegistryKey;
+use crate::registry::{RegistryKey, StorePosition};
 
 /// `StoreCall` is a request to the platform's store.
 #[derive(Debug, Display, Clone, Copy, PartialEq, Eq)]
@@ -19,10 +19,10 @@
         allow_stale: bool,
     },
     /// Waits for changes (long poll).
-    #[display("watch after {after_revision}")]
+    #[display("watch after {after}")]
     Watch {
-        /// Revision after which changes are returned.
-        after_revision: u64,
+        /// Position after which changes are returned.
+        after: StorePosition,
         /// Maximum time that the store waits for a change before it answers.
         max_wait: Duration,
     },
@@ -31,9 +31,9 @@
 /// `StoreFailure` is the reason why a store call returned no changes.
 #[derive(Debug, Display, Clone, PartialEq, Eq)]
 pub enum StoreFailure {
-    /// The store no longer holds the history after the revision of the watch.
-    #[display("watch history was compacted")]
-    HistoryCompacted,
+    /// The store does not hold the history after the position of the watch.
+    #[display("history of the watch is not available")]
+    HistoryUnavailable,
     /// The call failed or was rejected, for the given cause.
     #[display("{_0}")]
     Failed(String),
@@ -73,12 +73,12 @@
         /// Message to send.
         message: FleetMessage,
     },
-    /// Request the changes after a revision from another host.
+    /// Request the changes after a position from another host.
     RequestChanges {
         /// Address of the host to ask.
         to: Ipv4Addr,
-        /// Revision up to which every change is already known.
-        after_revision: u64,
+        /// Position up to which every change is already known; the origin to get all entries.
+        after: StorePosition,
     },
     /// Call the store, and cancel the call in progress, if any.
     CallStore(StoreCall),
@@ -94,12 +94,12 @@
 #[derive(Debug, Display, Clone, PartialEq, Eq)]
 pub enum WatchEvent {
     /// A manifest has been applied.
-    #[display("manifest in force version={version} revision={revision}")]
+    #[display("manifest in force version={version} {position}")]
     ManifestApplied {
         /// Version of the manifest.
         version: u64,
-        /// Store revision of the manifest.
-        revision: u64,
+        /// Position of the manifest in the store's history.
+        position: StorePosition,
     },
     /// A manifest contains a route that fails validation.
     #[display("manifest has an invalid route: {cause}")]
@@ -108,38 +108,54 @@
         cause: String,
     },
     /// An entry other than the manifest has changed.
-    #[display("{key} {state} revision={revision}")]
+    #[display("{key} {state} {position}")]
     EntryChanged {
         /// The entry that changed.
         key: RegistryKey,
         /// Its new state, as logged.
         state: &'static str,
-        /// Store revision of the change.
-        revision: u64,
+        /// Position of the change in the store's history.
+        position: StorePosition,
     },
-    /// The store has rejected a watch because it does not have the history after the revision.
-    #[display("store has no history after revision={after_revision}")]
+    /// The store has rejected a watch because it does not have the history after the position.
+    #[display("store has no history after {after}")]
     HistoryUnavailable {
-        /// Revision after which the watch was to continue.
-        after_revision: u64,
+        /// Position after which the watch was to continue.
+        after: StorePosition,
     },
     /// The store has returned the whole registry.
-    #[display("registry read revision={revision} known_revision={known_revision}")]
+    #[display("registry read {position} known_epoch={} known_revision={}", known.epoch, known.revision)]
     RegistryRead {
-        /// Revision of the store as of the read.
-        revision: u64,
-        /// Revision up to which the host had applied every change before the read.
-        known_revision: u64,
+        /// Position of the store as of the read.
+        position: StorePosition,
+        /// Position up to which the host had applied every change before the read.
+        known: StorePosition,
+    },
+    /// The store has returned from an older copy of itself.
+    #[display("store was restored known_epoch={} known_revision={} {position}", known.epoch, known.revision)]
+    StoreRestored {
+        /// Position up to which the host had applied every change of the lost history.
+        known: StorePosition,
+        /// Position of the store as of the first read.
+        position: StorePosition,
     },
     /// A change from the store was ignored as outdated although its content is not in force.
-    #[display("{key} ignored revision={revision} known_revision={known_revision}")]
+    #[display("{key} ignored {position} known_epoch={} known_revision={}", known.epoch, known.revision)]
     ChangeIgnored {
         /// The entry that the change concerns.
         key: RegistryKey,
-        /// Store revision of the change.
-        revision: u64,
-        /// Store revision of the content in force.
-        known_revision: u64,
+        /// Position of the change in the store's history.
+        position: StorePosition,
+        /// Position of the content in force.
+        known: StorePosition,
+    },
+    /// A change of a restored store takes effect later, since it contradicts newer knowledge.
+    #[display("{key} change deferred {position}")]
+    ChangeDeferred {
+        /// The entry that the change concerns.
+        key: RegistryKey,
+        /// Position of the change in the store's history.
+        position: StorePosition,
     },
     /// A store call has succeeded after failures.
     #[display("store reachable again after {failed_calls} failed calls")]
--- a/crates/mustardgrade-core/src/watch/gossip.rs
+++ b/crates/mustardgrade-core/src/watch/gossip.rs
@@ -167,7 +167,8 @@
         self.summary_offset = self.summary_offset.wrapping_add(MAX_DIGEST_MEMBERS);
         FleetDigest {
             sender: self.own_summary(),
-            revision: self.registry.revision(),
+            position: self.registry.position(),
+            manifest_version: self.registry.manifest_version(),
             confirmation_age_ms: self
                 .confirmed_at
                 .map(|at| saturating_millis(now.saturating_sub(at))),
--- a/crates/mustardgrade-core/src/watch/message.rs
+++ b/crates/mustardgrade-core/src/watch/message.rs
@@ -8,7 +8,7 @@
 
 use crate::cookie::LoadReport;
 use crate::identity::DataCentreId;
-use crate::registry::RegistryChange;
+use crate::registry::{RegistryChange, StorePosition};
 
 /// `FleetMemberState` is the life-cycle state of a host.
 #[derive(Debug, Display, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -51,9 +51,11 @@
 pub struct FleetDigest {
     /// Summary of the sender itself, which counts as heard just now.
     pub sender: FleetMemberSummary,
-    /// Revision up to which the sender has applied every change.
-    pub revision: u64,
-    /// Milliseconds since that revision was last confirmed to be the newest, if it was.
+    /// Position up to which the sender has applied every change.
+    pub position: StorePosition,
+    /// Version of the sender's manifest; 0 if it has none.
+    pub manifest_version: u64,
+    /// Milliseconds since that position was last confirmed to be the newest, if it was.
     pub confirmation_age_ms: Option<u32>,
     /// Whether the receiver should answer with a digest of its own.
     pub wants_reply: bool,
@@ -61,18 +63,26 @@
     pub members: Vec<FleetMemberSummary>,
 }
 
-/// `ChangeBatch` holds the registry changes between two revisions.
+/// `ChangeBatch` holds the registry changes between two positions of one epoch, or all entries.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ChangeBatch {
-    /// Revision after which the changes begin; 0 if the batch holds all entries.
-    pub after_revision: u64,
-    /// Revision up to which the changes are complete.
-    pub through_revision: u64,
+    /// Position after which the changes begin; the origin if the batch holds all entries.
+    pub after: StorePosition,
+    /// Position up to which the changes are complete.
+    pub through: StorePosition,
     /// Changed entries, each with its latest value.
     pub changes: Vec<RegistryChange>,
 }
 
+impl ChangeBatch {
+    /// Returns whether the batch holds all entries.
+    #[must_use]
+    pub fn is_complete(&self) -> bool {
+        self.after.is_origin()
+    }
+}
+
 /// `FleetMessage` is the content of a datagram between hosts.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/mustardgrade-core/src/watch/mod.rs
+++ b/crates/mustardgrade-core/src/watch/mod.rs
@@ -14,6 +14,7 @@
 mod message;
 mod options;
 mod peer_loads;
+mod replication;
 mod schedule;
 mod status;
 mod store_calls;
--- a/crates/mustardgrade-core/src/watch/status.rs
+++ b/crates/mustardgrade-core/src/watch/status.rs
@@ -3,14 +3,15 @@
 use std::time::Duration;
 
 use super::message::FleetMemberState;
+use crate::registry::StorePosition;
 
 /// `WatchStatus` summarises the registry replica of a host for the status page.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct WatchStatus {
     /// Life-cycle state of the host.
     pub state: FleetMemberState,
-    /// Revision up to which every change has been applied.
-    pub revision: u64,
+    /// Position up to which every change has been applied.
+    pub position: StorePosition,
     /// Version of the manifest in force; 0 if there is none.
     pub manifest_version: u64,
     /// Time since the registry was last confirmed to be current; `None` if it never was.
--- a/crates/mustardgrade-core/src/watch/store_calls.rs
+++ b/crates/mustardgrade-core/src/watch/store_calls.rs
@@ -22,7 +22,7 @@
         if self.call_in_progress.is_some() || self.state == FleetMemberState::Leaving {
             return;
         }
-        if self.registry.revision() == 0 {
+        if self.registry.position().is_origin() {
             if now >= self.first_read_at && now >= self.next_call_at {
                 self.start_call(
                     StoreCall::ReadAll { allow_stale: self.consecutive_failures == 0 },
@@ -51,7 +51,7 @@
                 false => Duration::from_millis(1),
             };
             self.start_call(
-                StoreCall::Watch { after_revision: self.registry.revision(), max_wait },
+                StoreCall::Watch { after: self.registry.position(), max_wait },
                 now,
                 outputs,
             );
--- a/crates/mustardgrade-core/src/watch/tests/controller.rs
+++ b/crates/mustardgrade-core/src/watch/tests/controller.rs
@@ -7,13 +7,13 @@
 use proptest::prelude::*;
 
 use crate::identity::DataCentreId;
-use crate::registry::{Manifest, RegistryChange, RegistryKey, RegistryValue};
+use crate::registry::{Manifest, RegistryChange, RegistryKey, RegistryValue, StorePosition};
 use crate::watch::{
     ChangeBatch, StoreCall, StoreFailure, WatchController, WatchInput, WatchOptions, WatchOutput,
     WatchSchedule,
 };
 
-fn controller() -> WatchController {
+pub(super) fn controller() -> WatchController {
     let options = WatchOptions {
         address: Ipv4Addr::new(10, 0, 0, 1),
         data_centre: DataCentreId::from_name("a"),
@@ -26,17 +26,31 @@
     WatchController::new(options, Duration::ZERO)
 }
 
-fn manifest(version: u64, revision: u64) -> RegistryChange {
+/// Returns a position in the store's first epoch.
+fn position(revision: u64) -> StorePosition {
+    StorePosition { epoch: 1, revision }
+}
+
+/// Returns a batch of all entries as of a revision of the store's first epoch.
+pub(super) fn complete_batch(revision: u64, changes: Vec<RegistryChange>) -> ChangeBatch {
+    ChangeBatch { after: StorePosition::ORIGIN, through: position(revision), changes }
+}
+
+pub(super) fn manifest(version: u64, revision: u64) -> RegistryChange {
     let manifest = Manifest { version, ..Manifest::default() };
     RegistryChange {
         key: RegistryKey::Manifest,
-        revision,
+        position: position(revision),
         value: RegistryValue::Manifest(Arc::new(manifest)),
         age: Duration::ZERO,
     }
 }
 
-fn handle_at(controller: &mut WatchController, input: WatchInput, now_ms: u64) -> Vec<WatchOutput> {
+pub(super) fn handle_at(
+    controller: &mut WatchController,
+    input: WatchInput,
+    now_ms: u64,
+) -> Vec<WatchOutput> {
     let mut outputs = Vec::new();
     controller.handle(input, Duration::from_millis(now_ms), &mut outputs);
     outputs
@@ -51,12 +65,9 @@
         let mut controller = controller();
         let mut highest = 0;
         for (now_ms, (revision, complete)) in answers.into_iter().enumerate() {
-            let after_revision = if complete { 0 } else { revision - 1 };
-            let batch = ChangeBatch {
-                after_revision,
-                through_revision: revision,
-                changes: vec![manifest(revision, revision)],
-            };
+            let after = if complete { StorePosition::ORIGIN } else { position(revision - 1) };
+            let changes = vec![manifest(revision, revision)];
+            let batch = ChangeBatch { after, through: position(revision), changes };
             let from = Ipv4Addr::new(10, 0, 0, 2);
             handle_at(
                 &mut controller,
@@ -75,8 +86,7 @@
     let mut controller = controller();
     let outputs = handle_at(&mut controller, WatchInput::Tick, 0);
     assert!(outputs.contains(&WatchOutput::CallStore(StoreCall::ReadAll { allow_stale: true })));
-    let batch =
-        ChangeBatch { after_revision: 0, through_revision: 9, changes: vec![manifest(3, 9)] };
+    let batch = complete_batch(9, vec![manifest(3, 9)]);
     let outputs = handle_at(&mut controller, WatchInput::StoreResult(Ok(batch)), 5);
     assert_eq!(controller.status(Duration::from_millis(5)).confirmation_age, None);
     let is_watch_call =
@@ -88,19 +98,17 @@
 fn registry_is_read_again_after_compaction_and_an_older_manifest_is_ignored() {
     let mut controller = controller();
     handle_at(&mut controller, WatchInput::Tick, 0);
-    let batch =
-        ChangeBatch { after_revision: 0, through_revision: 9, changes: vec![manifest(3, 9)] };
+    let batch = complete_batch(9, vec![manifest(3, 9)]);
     handle_at(&mut controller, WatchInput::StoreResult(Ok(batch)), 5);
     let outputs = handle_at(
         &mut controller,
-        WatchInput::StoreResult(Err(StoreFailure::HistoryCompacted)),
+        WatchInput::StoreResult(Err(StoreFailure::HistoryUnavailable)),
         20,
     );
     assert!(outputs.contains(&WatchOutput::CallStore(StoreCall::ReadAll { allow_stale: false })));
     assert_eq!(controller.status(Duration::from_millis(20)).manifest_version, 3);
     // The store answers from a lagging replica: the newer manifest must stay.
-    let batch =
-        ChangeBatch { after_revision: 0, through_revision: 7, changes: vec![manifest(2, 7)] };
+    let batch = complete_batch(7, vec![manifest(2, 7)]);
     handle_at(&mut controller, WatchInput::StoreResult(Ok(batch)), 25);
     assert_eq!(controller.status(Duration::from_millis(25)).manifest_version, 3);
 }
@@ -124,7 +132,7 @@
     let mut controller = controller();
     let upstream = |revision, value| RegistryChange {
         key: RegistryKey::Upstream("i-1".to_owned()),
-        revision,
+        position: position(revision),
         value,
         age: Duration::ZERO,
     };
@@ -133,17 +141,20 @@
     handle_at(&mut controller, WatchInput::StoreResult(Err(failure)), 5);
     handle_at(&mut controller, WatchInput::Tick, 600);
     let changes = vec![manifest(3, 8), upstream(9, RegistryValue::Unusable)];
-    let batch = ChangeBatch { after_revision: 0, through_revision: 9, changes };
+    let batch = complete_batch(9, changes);
     handle_at(&mut controller, WatchInput::StoreResult(Ok(batch)), 605);
     for now_ms in (700..6_000).step_by(100) {
         // The answer to each watch starts the next one.
         handle_at(&mut controller, WatchInput::Tick, now_ms);
-        let empty = ChangeBatch { after_revision: 9, through_revision: 9, changes: Vec::new() };
+        let empty = ChangeBatch { after: position(9), through: position(9), changes: Vec::new() };
         handle_at(&mut controller, WatchInput::StoreResult(Ok(empty)), now_ms + 4);
     }
-    handle_at(&mut controller, WatchInput::StoreResult(Err(StoreFailure::HistoryCompacted)), 6_000);
-    let batch =
-        ChangeBatch { after_revision: 0, through_revision: 12, changes: vec![manifest(3, 8)] };
+    handle_at(
+        &mut controller,
+        WatchInput::StoreResult(Err(StoreFailure::HistoryUnavailable)),
+        6_000,
+    );
+    let batch = complete_batch(12, vec![manifest(3, 8)]);
     handle_at(&mut controller, WatchInput::StoreResult(Ok(batch)), 6_010);
     let entry = controller.registry().entry(&RegistryKey::Upstream("i-1".to_owned()));
     let value = entry.map(|entry| entry.value.clone());
@@ -167,7 +178,7 @@
     let manifest_with_invalid_route =
         Manifest { version: 3, routes: vec![route], ..Manifest::default() };
     change.value = RegistryValue::Manifest(Arc::new(manifest_with_invalid_route));
-    let batch = ChangeBatch { after_revision: 0, through_revision: 9, changes: vec![change] };
+    let batch = complete_batch(9, vec![change]);
     handle_at(&mut controller, WatchInput::StoreResult(Ok(batch)), 5);
     assert_eq!(controller.status(Duration::from_millis(5)).manifest_version, 3);
 }
--- a/crates/mustardgrade-core/src/watch/tests/mod.rs
+++ b/crates/mustardgrade-core/src/watch/tests/mod.rs
@@ -2,3 +2,4 @@
 //! several hosts.
 
 mod controller;
+mod restore;
--- a/crates/mustardgrade-node/src/cookie_host/actor.rs
+++ b/crates/mustardgrade-node/src/cookie_host/actor.rs
@@ -10,6 +10,7 @@
 use kameo::message::{Context, Message};
 use mustardgrade_core::clock::Clock;
 use mustardgrade_core::cookie::LoadReport;
+use mustardgrade_core::registry::StorePosition;
 use mustardgrade_core::watch::{
     ChangeBatch, FleetMemberState, FleetMessage, StoreCall, WatchController, WatchInput,
     WatchOutput,
@@ -121,9 +122,7 @@
     fn perform_output(&mut self, output: WatchOutput, actor_ref: &ActorRef<Self>) {
         match output {
             WatchOutput::Send { to, message } => self.send_message(to, message),
-            WatchOutput::RequestChanges { to, after_revision } => {
-                self.request_changes(to, after_revision, actor_ref)
-            }
+            WatchOutput::RequestChanges { to, after } => self.request_changes(to, after, actor_ref),
             WatchOutput::CallStore(call) => self.start_store_call(call, actor_ref),
             WatchOutput::InstallSnapshot => {
                 self.resources.shared.snapshot.store(Arc::new(self.controller.snapshot()));
@@ -150,19 +149,18 @@
         }
     }
 
-    fn request_changes(&self, to: Ipv4Addr, after_revision: u64, actor_ref: &ActorRef<Self>) {
+    fn request_changes(&self, to: Ipv4Addr, after: StorePosition, actor_ref: &ActorRef<Self>) {
         let call_client = self.resources.call_client.clone();
         let actor_ref = actor_ref.clone();
         tokio::spawn(async move {
-            let batch =
-                match call_client.call(to, &PeerCall::RegistryChanges { after_revision }).await {
-                    Ok(PeerReply::RegistryChanges(batch)) => Some(batch),
-                    Ok(_) => None,
-                    Err(error) => {
-                        log::info!(host:% = to, error:% = error; "request for changes failed");
-                        None
-                    }
-                };
+            let batch = match call_client.call(to, &PeerCall::RegistryChanges { after }).await {
+                Ok(PeerReply::RegistryChanges(batch)) => Some(batch),
+                Ok(_) => None,
+                Err(error) => {
+                    log::info!(host:% = to, error:% = error; "request for changes failed");
+                    None
+                }
+            };
             let _actor_stopped = actor_ref.tell(WatchInput::Changes { from: to, batch }).await;
         });
     }
@@ -202,7 +200,8 @@
             self.resources.status_sender.send_replace(page.to_json());
         }
         let metrics = &self.resources.metrics;
-        metrics.rules_revision.store(status.revision, Ordering::Relaxed);
+        metrics.rules_revision.store(status.position.revision, Ordering::Relaxed);
+        metrics.store_epoch.store(status.position.epoch, Ordering::Relaxed);
         metrics.live_hosts.store(status.live_hosts as u64, Ordering::Relaxed);
         metrics.registry_reads.store(status.registry_reads, Ordering::Relaxed);
         metrics.ignored_changes.store(status.ignored_changes, Ordering::Relaxed);
@@ -260,9 +259,9 @@
     }
 }
 
-/// `ReadChanges` requests the registry changes after a revision, for another host.
+/// `ReadChanges` requests the registry changes after a position, for another host.
 #[derive(Debug)]
-pub(super) struct ReadChanges(pub(super) u64);
+pub(super) struct ReadChanges(pub(super) StorePosition);
 
 /// `ChangesReply` is the reply to [`ReadChanges`].
 #[derive(Debug, kameo::Reply)]
--- a/crates/mustardgrade-node/src/cookie_host/admin_pages.rs
+++ b/crates/mustardgrade-node/src/cookie_host/admin_pages.rs
@@ -12,6 +12,7 @@
 pub(super) struct StatusPage<'a> {
     host: &'a str,
     state: String,
+    epoch: u64,
     revision: u64,
     manifest_version: u64,
     confirmed_ms: Option<u64>,
@@ -25,7 +26,8 @@
         Self {
             host,
             state: status.state.to_string(),
-            revision: status.revision,
+            epoch: status.position.epoch,
+            revision: status.position.revision,
             manifest_version: status.manifest_version,
             confirmed_ms: status.confirmation_age.map(|age| age.as_millis() as u64),
             watching: status.watching,
@@ -55,7 +57,7 @@
         None => return text,
     };
     for (key, entry) in registry.entries() {
-        let revision = entry.revision;
+        let revision = entry.position.revision;
         // Writing to a `String` cannot fail.
         let _never_fails = match &entry.value {
             RegistryValue::Evacuated => writeln!(text, "{key}  # operator, revision {revision}"),
--- a/crates/mustardgrade-node/src/cookie_host/flow_log.rs
+++ b/crates/mustardgrade-node/src/cookie_host/flow_log.rs
@@ -56,7 +56,7 @@
         };
         let LogDecision::Write { omitted } = limiter.admit(now) else { return };
         let version = snapshot.manifest_version;
-        let revision = snapshot.store_revision;
+        let revision = snapshot.store_position.revision;
         let upstream = |cookie| upstream_name(snapshot, cookie);
         match event {
             FlowEvent::Opened {
--- a/crates/mustardgrade-node/src/cookie_host/tasks.rs
+++ b/crates/mustardgrade-node/src/cookie_host/tasks.rs
@@ -73,12 +73,10 @@
     tokio::spawn(async move {
         while let Some(incoming) = incoming_calls.recv().await {
             let reply = match incoming.call {
-                PeerCall::RegistryChanges { after_revision } => {
-                    match actor.ask(ReadChanges(after_revision)).await {
-                        Ok(reply) => PeerReply::RegistryChanges(reply.0),
-                        Err(_) => PeerReply::Declined,
-                    }
-                }
+                PeerCall::RegistryChanges { after } => match actor.ask(ReadChanges(after)).await {
+                    Ok(reply) => PeerReply::RegistryChanges(reply.0),
+                    Err(_) => PeerReply::Declined,
+                },
                 PeerCall::Configuration
                 | PeerCall::AllExceptions
                 | PeerCall::BucketExceptions { .. }
--- a/crates/mustardgrade-node/src/cookie_host/tests.rs
+++ b/crates/mustardgrade-node/src/cookie_host/tests.rs
@@ -7,7 +7,7 @@
 use mustardgrade_core::identity::{DataCentreId, ServiceId};
 use mustardgrade_core::registry::{
     Manifest, RegisteredState, RegistryChange, RegistryKey, RegistryTable, RegistryValue,
-    RetryPolicy, RouteBackend, RouteConfig, UpstreamRegistration,
+    RetryPolicy, RouteBackend, RouteConfig, StorePosition, UpstreamRegistration,
 };
 
 use super::render_rules_page;
@@ -48,8 +48,9 @@
     ];
     let mut registry = RegistryTable::default();
     for (revision, (key, value)) in (1..).zip(values) {
+        let position = StorePosition { epoch: 1, revision };
         registry
-            .apply(RegistryChange { key, revision, value, age: Duration::ZERO }, Duration::ZERO);
+            .apply(RegistryChange { key, position, value, age: Duration::ZERO }, Duration::ZERO);
     }
     expect![[r#"
         route desk 198.18.0.1:443 backends=00000000000000ab*1 repeat=idempotent timeout=2500ms priority=2  # operator, manifest version 7
--- a/crates/mustardgrade-node/src/metrics/registry.rs
+++ b/crates/mustardgrade-node/src/metrics/registry.rs
@@ -114,6 +114,8 @@
     hop_bytes_sent: AtomicU64,
     /// Rules revision in force.
     pub rules_revision: AtomicU64,
+    /// Number of the store's history that the rules revision belongs to.
+    pub store_epoch: AtomicU64,
     /// Placement generation in force.
     pub placement_generation: AtomicU64,
     /// Number of buckets that are announced, collecting or settling.
@@ -154,6 +156,7 @@
             control_bytes_sent: AtomicU64::new(0),
             hop_bytes_sent: AtomicU64::new(0),
             rules_revision: AtomicU64::new(0),
+            store_epoch: AtomicU64::new(0),
             placement_generation: AtomicU64::new(0),
             guarded_buckets: AtomicU64::new(0),
             live_hosts: AtomicU64::new(0),
@@ -372,6 +375,11 @@
         }
         let gauges = [
             ("rules_revision", "Rules revision in force", load(&metrics.rules_revision)),
+            (
+                "store_epoch",
+                "Number of the store's history, which rises when the store returns from a copy",
+                load(&metrics.store_epoch),
+            ),
             (
                 "placement_generation",
                 "Placement generation in force",
--- a/crates/mustardgrade-standin/src/fleet/event.rs
+++ b/crates/mustardgrade-standin/src/fleet/event.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use mustardgrade_core::cookie::CookiePacket;
+use mustardgrade_core::registry::StorePosition;
 use mustardgrade_core::watch::{StoreCall, WatchInput};
 
 use super::callers::{CallerEvent, FlowId};
@@ -24,8 +25,8 @@
     StoreResponse { host: usize, incarnation: u64, call_id: u64, input: Box<WatchInput> },
     /// A watch has reached its maximum wait without a change.
     WatchTimeout { host: usize, incarnation: u64, call_id: u64 },
-    /// A host's request for the registry changes after a revision arrives at its peer.
-    ChangesRequest { host: usize, incarnation: u64, to: Ipv4Addr, after_revision: u64 },
+    /// A host's request for the registry changes after a position arrives at its peer.
+    ChangesRequest { host: usize, incarnation: u64, to: Ipv4Addr, after: StorePosition },
     /// A packet from a caller arrives at a host.
     PacketAtHost { host: usize, incarnation: u64, flow: FlowId, packet: CookiePacket },
     /// A packet from a host arrives at the address of an upstream.
--- a/crates/mustardgrade-standin/src/fleet/hosts.rs
+++ b/crates/mustardgrade-standin/src/fleet/hosts.rs
@@ -9,6 +9,7 @@
     CookieOptions, CookiePacket, CookieRouter, CookieVerdict, FabricKind,
 };
 use mustardgrade_core::identity::{DataCentreId, HostId, HostIncarnation};
+use mustardgrade_core::registry::StorePosition;
 use mustardgrade_core::watch::{
     FleetMemberState, WatchController, WatchInput, WatchOptions, WatchOutput, WatchSchedule,
 };
@@ -254,10 +255,10 @@
                     );
                 }
             }
-            WatchOutput::RequestChanges { to, after_revision } => {
+            WatchOutput::RequestChanges { to, after } => {
                 self.schedule_after(
                     ONE_WAY_DELAY * 2,
-                    FleetEvent::ChangesRequest { host, incarnation, to, after_revision },
+                    FleetEvent::ChangesRequest { host, incarnation, to, after },
                 );
             }
             WatchOutput::CallStore(call) => {
@@ -281,14 +282,14 @@
         host: usize,
         incarnation: u64,
         to: Ipv4Addr,
-        after_revision: u64,
+        after: StorePosition,
     ) {
         let peer = Self::host_index(to);
         let reachable = self.host_reaches(host, peer) && self.hosts[peer].paused_until <= self.now;
         let batch = match reachable {
-            true => self
-                .controller(peer)
-                .map(|controller| controller.changes_after(after_revision, self.now)),
+            true => {
+                self.controller(peer).map(|controller| controller.changes_after(after, self.now))
+            }
             false => None,
         };
         let input = Box::new(WatchInput::Changes { from: to, batch });
--- a/crates/mustardgrade-standin/src/fleet/mod.rs
+++ b/crates/mustardgrade-standin/src/fleet/mod.rs
@@ -131,8 +131,8 @@
             FleetEvent::WatchTimeout { host, incarnation, call_id } => {
                 self.expire_watch(host, incarnation, call_id)
             }
-            FleetEvent::ChangesRequest { host, incarnation, to, after_revision } => {
-                self.answer_changes_request(host, incarnation, to, after_revision)
+            FleetEvent::ChangesRequest { host, incarnation, to, after } => {
+                self.answer_changes_request(host, incarnation, to, after)
             }
             FleetEvent::PacketAtHost { host, flow, packet, .. } => {
                 self.route_packet(host, flow, &packet)
--- a/crates/mustardgrade-standin/src/fleet/store.rs
+++ b/crates/mustardgrade-standin/src/fleet/store.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use mustardgrade_core::registry::{RegistryChange, RegistryKey, RegistryValue};
+use mustardgrade_core::registry::{RegistryChange, RegistryKey, RegistryValue, StorePosition};
 use mustardgrade_core::watch::{ChangeBatch, StoreCall, StoreFailure, WatchInput};
 
 use super::FleetSimulation;
@@ -33,7 +33,7 @@
     host: usize,
     incarnation: u64,
     call_id: u64,
-    after_revision: u64,
+    after: StorePosition,
 }
 
 /// `StoreWrite` is an accepted write.
@@ -53,7 +53,7 @@
     writes: Vec<StoreWrite>,
     /// Number of writes in the copy that the store was last restored from.
     restored_writes: usize,
-    revision: u64,
+    position: StorePosition,
     pending_watches: Vec<PendingWatch>,
     /// Time from a call, or from the change that ends a watch, to the result.
     pub(super) response_time: Duration,
@@ -70,7 +70,7 @@
             change_log: Vec::new(),
             writes: Vec::new(),
             restored_writes: 0,
-            revision: FIRST_REVISION,
+            position: StorePosition { epoch: 1, revision: FIRST_REVISION },
             pending_watches: Vec::new(),
             response_time: NORMAL_RESPONSE_TIME,
             oldest_watch_revision: 0,
@@ -82,11 +82,11 @@
 impl SimulatedStore {
     /// Applies a write under a new revision and appends it to the change log.
     fn apply_write(&mut self, write: StoreWrite) {
-        self.revision += 1;
-        let revision = self.revision;
+        self.position.revision += 1;
+        let position = self.position;
         let StoreWrite { key, value, .. } = write.clone();
         self.writes.push(write);
-        let change = RegistryChange { key: key.clone(), revision, value, age: Duration::ZERO };
+        let change = RegistryChange { key: key.clone(), position, value, age: Duration::ZERO };
         match change.value {
             RegistryValue::Removed { .. } => self.entries.remove(&key),
             _ => self.entries.insert(key, change.clone()),
@@ -100,7 +100,7 @@
         let lost_writes = self.writes.split_off(copy_length);
         self.entries.clear();
         self.change_log.clear();
-        self.revision = FIRST_REVISION;
+        self.position = StorePosition { epoch: self.position.epoch + 1, revision: FIRST_REVISION };
         for write in std::mem::take(&mut self.writes) {
             self.apply_write(write);
         }
@@ -113,35 +113,34 @@
         self.writes[self.restored_writes..].iter().any(|write| write.key == *key)
     }
 
-    fn changes_after(&self, after_revision: u64) -> ChangeBatch {
-        let first_index =
-            self.change_log.partition_point(|change| change.revision <= after_revision);
+    fn changes_after(&self, after: StorePosition) -> ChangeBatch {
+        let is_known = |change: &RegistryChange| change.position.revision <= after.revision;
+        let first_index = self.change_log.partition_point(is_known);
         ChangeBatch {
-            after_revision,
-            through_revision: self.revision,
+            after,
+            through: self.position,
             changes: self.change_log[first_index..].to_vec(),
         }
     }
 
     /// Returns the result of a call; `None` for a watch that has to wait for a change.
+    ///
+    /// The store compares revisions only: it does not know in which epoch a host has seen one.
     fn immediate_result(&self, call: &StoreCall) -> Option<Result<ChangeBatch, StoreFailure>> {
         match call {
-            StoreCall::ReadAll { .. } => {
-                let changes = self.entries.values().cloned().collect();
-                Some(Ok(ChangeBatch {
-                    after_revision: 0,
-                    through_revision: self.revision,
-                    changes,
-                }))
-            }
-            StoreCall::Watch { after_revision, .. }
-                if *after_revision < self.oldest_watch_revision
-                    || *after_revision > self.revision =>
+            StoreCall::ReadAll { .. } => Some(Ok(ChangeBatch {
+                after: StorePosition::ORIGIN,
+                through: self.position,
+                changes: self.entries.values().cloned().collect(),
+            })),
+            StoreCall::Watch { after, .. }
+                if after.revision < self.oldest_watch_revision
+                    || after.revision > self.position.revision =>
             {
-                Some(Err(StoreFailure::HistoryCompacted))
+                Some(Err(StoreFailure::HistoryUnavailable))
             }
-            StoreCall::Watch { after_revision, .. } => {
-                (*after_revision < self.revision).then(|| Ok(self.changes_after(*after_revision)))
+            StoreCall::Watch { after, .. } => {
+                (after.revision < self.position.revision).then(|| Ok(self.changes_after(*after)))
             }
         }
     }
@@ -152,7 +151,7 @@
     pub(super) fn write_entry(&mut self, key: RegistryKey, value: RegistryValue) {
         self.store.apply_write(StoreWrite { key, value, written_at: self.now });
         for watch in std::mem::take(&mut self.store.pending_watches) {
-            let batch = self.store.changes_after(watch.after_revision);
+            let batch = self.store.changes_after(watch.after);
             self.send_store_result(watch.host, watch.incarnation, watch.call_id, Ok(batch));
         }
     }
@@ -172,13 +171,8 @@
         }
         match (self.store.immediate_result(&call), call) {
             (Some(result), _) => self.send_store_result(host, incarnation, call_id, result),
-            (None, StoreCall::Watch { after_revision, max_wait }) => {
-                self.store.pending_watches.push(PendingWatch {
-                    host,
-                    incarnation,
-                    call_id,
-                    after_revision,
-                });
+            (None, StoreCall::Watch { after, max_wait }) => {
+                self.store.pending_watches.push(PendingWatch { host, incarnation, call_id, after });
                 self.schedule_after(
                     max_wait,
                     FleetEvent::WatchTimeout { host, incarnation, call_id },
@@ -196,7 +190,7 @@
         });
         if let Some(position) = position {
             let watch = pending_watches.swap_remove(position);
-            let batch = self.store.changes_after(watch.after_revision);
+            let batch = self.store.changes_after(watch.after);
             self.send_store_result(host, incarnation, call_id, Ok(batch));
         }
     }
--- a/crates/mustardgrade-wire/src/peer/message.rs
+++ b/crates/mustardgrade-wire/src/peer/message.rs
@@ -6,6 +6,7 @@
 use mustardgrade_core::identity::{DataCentreId, HostId, HostIncarnation, ServiceId};
 use mustardgrade_core::membership::{HostDigest, HostState};
 use mustardgrade_core::placement::{BucketIndex, PlacementMap};
+use mustardgrade_core::registry::StorePosition;
 use mustardgrade_core::request::RequestPeerMessage;
 use mustardgrade_core::watch::{ChangeBatch, FleetMessage};
 use serde::{Deserialize, Serialize};
@@ -95,10 +96,10 @@
         /// The calling host.
         host: HostId,
     },
-    /// Requests the registry changes after a revision.
+    /// Requests the registry changes after a position in the store's history.
     RegistryChanges {
-        /// Revision up to which the calling host has applied every change.
-        after_revision: u64,
+        /// Position up to which the calling host has applied every change; the origin to get all.
+        after: StorePosition,
     },
     /// Transfers records of buckets whose owner chain the callee has joined.
     TransferRecords {
