Entries that a peer no longer has are removed when it sends all entries

What callers would see: a host that was cut off for longer than tombstones live (75 s) keeps an upstream that was removed meanwhile and goes on sending openings to it; callers wait until it is suspected.

Cause: if the changes since a host's position are not known in full, a peer sends all entries, and only a complete read from the store drew conclusions from what is missing. Evidence: entry_that_a_peer_no_longer_has_is_removed_when_it_sends_all_entries failed before. The fix treats a peer's complete batch like a complete read; an entry newer than the batch stays.

--- a/crates/mustardgrade-core/src/watch/replication.rs
+++ b/crates/mustardgrade-core/src/watch/replication.rs
@@ -75,18 +75,19 @@
             return;
         };
         let starting = self.state == FleetMemberState::Starting;
-        let batch = self.reconcile_epoch(batch, now, outputs);
+        let batch = match batch.is_complete() {
+            true => self.reconcile(batch, now, outputs),
+            false => batch,
+        };
         self.apply_batch(&batch, now, outputs);
         if starting && self.state == FleetMemberState::Ready {
             self.broadcast(None, BroadcastScope::AllDataCentres, now, outputs);
         }
     }
 
-    /// Adapts a complete batch of another epoch than that of the registry.
-    ///
-    /// From an earlier epoch only the manifest is kept, since a restored store has lost the rest.
-    /// A later epoch begins here: entries that the batch lacks are removed.
-    fn reconcile_epoch(
+    /// Adapts a peer's complete batch: entries that it lacks are removed. Of an earlier epoch only
+    /// the manifest is kept, since the restored store may have lost the rest.
+    fn reconcile(
         &mut self,
         mut batch: ChangeBatch,
         now: Duration,
@@ -95,11 +96,12 @@
         let known = self.registry.position();
         if batch.through.epoch < known.epoch {
             batch.changes.retain(|change| change.key == RegistryKey::Manifest);
-        } else if batch.through.epoch > known.epoch && !known.is_origin() {
+            return batch;
+        }
+        if batch.through.epoch > known.epoch && !known.is_origin() {
             self.enter_epoch(batch.through, now, outputs);
-            batch = self.with_implied_removals(batch, now);
         }
-        batch
+        self.with_implied_removals(batch, now)
     }
 
     /// Notes that the store has returned from a copy, and abandons a call that continues the lost
--- a/crates/mustardgrade-core/src/watch/tests/controller.rs
+++ b/crates/mustardgrade-core/src/watch/tests/controller.rs
@@ -182,3 +182,29 @@
     handle_at(&mut controller, WatchInput::StoreResult(Ok(batch)), 5);
     assert_eq!(controller.status(Duration::from_millis(5)).manifest_version, 3);
 }
+
+// A peer that has purged the tombstone of a removal can only send all of its entries.
+#[test]
+fn entry_that_a_peer_no_longer_has_is_removed_when_it_sends_all_entries() {
+    let key = RegistryKey::Upstream("i-1".to_owned());
+    let upstream = RegistryChange {
+        key: key.clone(),
+        position: position(9),
+        value: RegistryValue::Unusable,
+        age: Duration::ZERO,
+    };
+    let mut controller = controller();
+    let from = Ipv4Addr::new(10, 0, 0, 2);
+    let batch = Some(complete_batch(9, vec![manifest(3, 8), upstream]));
+    handle_at(&mut controller, WatchInput::Changes { from, batch }, 5);
+    // An answer that is older than the entry says nothing about it.
+    let batch = Some(complete_batch(8, vec![manifest(3, 8)]));
+    handle_at(&mut controller, WatchInput::Changes { from, batch }, 10);
+    let value = |controller: &WatchController| {
+        controller.registry().entry(&key).map(|entry| entry.value.clone())
+    };
+    assert_eq!(value(&controller), Some(RegistryValue::Unusable));
+    let batch = Some(complete_batch(40, vec![manifest(3, 8)]));
+    handle_at(&mut controller, WatchInput::Changes { from, batch }, 15);
+    assert!(matches!(value(&controller), Some(RegistryValue::Removed { .. })));
+}
