Failing scenario: the product's own store returns from an older copy

The store's rules restart at an old revision, so hosts ignore the next accepted edits, and no placement has the predecessor that a write expects.

--- a/crates/mustardgrade-standin/src/world/actions.rs
+++ b/crates/mustardgrade-standin/src/world/actions.rs
@@ -102,6 +102,9 @@
                 self.store.fault = Some(fault);
                 self.event_queue.push(self.now + duration, SimulationEvent::ClearStoreFault);
             }
+            EventAction::RestoreStore { copy_age, downtime } => {
+                self.restore_store(copy_age, downtime)
+            }
             EventAction::TurnUpstreamCold(name) => {
                 self.with_request_upstream(
                     &name,
@@ -111,7 +114,6 @@
             // Not supported: this simulation has neither a manifest nor a registry of upstreams;
             // only that of cookie routing has them.
             EventAction::ReuseUpstreamAddress { .. }
-            | EventAction::RestoreStore { .. }
             | EventAction::KillWatchingHosts
             | EventAction::PowerLoss(_)
             | EventAction::PublishManifest => self.counters.unknown_names += 1,
@@ -177,7 +179,7 @@
 
     /// Writes the current rules to the store as a new revision and notifies the watchers.
     fn publish_rules(&mut self) {
-        let revision = self.store.put_rules(Arc::new(self.rules.clone()));
+        let revision = self.store.put_rules(Arc::new(self.rules.clone()), self.now);
         self.counters.rules_accepted_at.insert(revision, self.now);
         self.notify_watchers();
     }
--- a/crates/mustardgrade-standin/src/world/figures.rs
+++ b/crates/mustardgrade-standin/src/world/figures.rs
@@ -223,7 +223,7 @@
     }
 
     fn count_guarded_buckets(&self) -> usize {
-        let Some(placement) = &self.store.placement else { return 0 };
+        let Some(placement) = &self.store.contents.placement else { return 0 };
         let buckets = placement.tables.iter().flat_map(|table| &table.buckets);
         buckets.filter(|bucket| bucket.phase.is_guarded()).count()
     }
--- a/crates/mustardgrade-standin/src/world/mod.rs
+++ b/crates/mustardgrade-standin/src/world/mod.rs
@@ -108,7 +108,7 @@
     fn set_up(&mut self) {
         self.build_rules();
         let rules = Arc::new(self.rules.clone());
-        self.store.put_rules(rules);
+        self.store.put_rules(rules, self.now);
         let data_centres = self.scenario.data_centres.clone();
         for data_centre in &data_centres {
             for number in 1..=data_centre.host_count {
--- a/crates/mustardgrade-standin/src/world/store.rs
+++ b/crates/mustardgrade-standin/src/world/store.rs
@@ -17,23 +17,44 @@
 /// hosts grows to.
 const STORE_RETRY_DELAY: Duration = Duration::from_secs(5);
 
+/// `StoreContents` are the values of the store's keys.
+#[derive(Debug, Clone, Default)]
+pub(super) struct StoreContents {
+    pub(super) rules: Option<StoredRules>,
+    pub(super) placement: Option<StoredPlacement>,
+}
+
 /// `SimulatedStore` holds the contents of the store, its current fault, and the count of its calls.
 #[derive(Debug, Default)]
 pub(super) struct SimulatedStore {
-    pub(super) rules: Option<StoredRules>,
-    pub(super) placement: Option<StoredPlacement>,
+    pub(super) contents: StoreContents,
+    /// Contents after each accepted write, with its time.
+    history: Vec<(Duration, StoreContents)>,
     pub(super) fault: Option<StoreFault>,
     pub(super) call_count: u64,
 }
 
 impl SimulatedStore {
     /// Stores the rules under the next revision and returns it.
-    pub(super) fn put_rules(&mut self, rule_set: Arc<RuleSet>) -> u64 {
-        let revision = self.rules.as_ref().map_or(1, |rules| rules.revision + 1);
-        self.rules = Some(StoredRules { revision, rule_set });
+    pub(super) fn put_rules(&mut self, rule_set: Arc<RuleSet>, now: Duration) -> u64 {
+        let revision = self.contents.rules.as_ref().map_or(1, |rules| rules.revision + 1);
+        self.contents.rules = Some(StoredRules { revision, rule_set });
+        self.record_write(now);
         revision
     }
 
+    fn record_write(&mut self, now: Duration) {
+        self.history.push((now, self.contents.clone()));
+    }
+
+    /// Returns to the contents of an earlier time.
+    fn return_to(&mut self, copied_at: Duration) {
+        let copy_length = self.history.partition_point(|(written_at, _)| *written_at <= copied_at);
+        self.history.truncate(copy_length);
+        let last_copied = self.history.last().map(|(_, contents)| contents.clone());
+        self.contents = last_copied.unwrap_or_default();
+    }
+
     fn is_unavailable(&self) -> bool {
         self.fault == Some(StoreFault::Down)
     }
@@ -78,10 +99,10 @@
             }
             return;
         }
-        if let Some(rules) = self.store.rules.clone() {
+        if let Some(rules) = self.store.contents.rules.clone() {
             self.handle_controller_input(host, ControllerInput::RulesReceived(rules));
         }
-        if let Some(placement) = self.store.placement.clone() {
+        if let Some(placement) = self.store.contents.placement.clone() {
             self.handle_controller_input(host, ControllerInput::PlacementReceived(placement));
         }
     }
@@ -95,12 +116,14 @@
         if self.store.is_unavailable() || !is_reachable {
             return;
         }
-        let stored_generation = self.store.placement.as_ref().map_or(0, |stored| stored.generation);
+        let stored = &self.store.contents.placement;
+        let stored_generation = stored.as_ref().map_or(0, |stored| stored.generation);
         if stored_generation + 1 != placement.generation {
             self.schedule_store_read(host);
             return;
         }
-        self.store.placement = Some(Arc::clone(&placement));
+        self.store.contents.placement = Some(Arc::clone(&placement));
+        self.store.record_write(self.now);
         self.counters.placement_generations += 1;
         self.notify_watchers();
         if self.store.fault != Some(StoreFault::LostAnswer) {
@@ -110,6 +133,14 @@
         }
     }
 
+    /// Takes the store down for `downtime`, after which it returns from a copy that is now
+    /// `copy_age` old.
+    pub(super) fn restore_store(&mut self, copy_age: Duration, downtime: Duration) {
+        self.store.return_to(self.now.saturating_sub(copy_age));
+        self.store.fault = Some(StoreFault::Down);
+        self.event_queue.push(self.now + downtime, SimulationEvent::ClearStoreFault);
+    }
+
     /// Ends the fault of the store; watchers read it again.
     pub(super) fn clear_store_fault(&mut self) {
         self.store.fault = None;
