Hosts write back rules and a placement that the store has lost

Rules revisions and placement generations are numbered by what the store holds; hosts drop what is not above the number that they know, and a placement is written only over its predecessor. Nobody writes again what such a store has lost but the hosts, which have it.

Change: a read that shows an older value than the one in force makes the host write the latter back, by compare-and-swap on what it read. An edit that the restored store accepted first is told from an older copy by the edits that a revision lists, and becomes the next revision; edits too old to be listed count as an older copy. Hosts pass the list on to each other.

--- a/crates/mustardgrade-cli/src/commands/apply.rs
+++ b/crates/mustardgrade-cli/src/commands/apply.rs
@@ -15,10 +15,6 @@
 /// Upper limit on the attempts to get an edit accepted despite concurrent edits and store failures.
 const MAX_ATTEMPTS: u32 = 8;
 
-/// Upper limit on the recent edits that the rules document lists; if the answer to a write is lost,
-/// the edit is known to be accepted as long as the document lists it.
-const MAX_RECENT_EDITS: usize = 32;
-
 /// Interval between status requests to the hosts while waiting.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -127,7 +123,7 @@
             print!("{difference}");
             diff_printed = true;
         }
-        let document = build_document(&stored, edit.id, &new_rules);
+        let document = RulesDocument::next(stored.document.as_ref(), edit.id, &new_rules);
         let write_result =
             store.write(RULES_KEY, &encode_rules(&document), stored.modify_index).await;
         match write_result {
@@ -185,20 +181,6 @@
     Ok(new_rules)
 }
 
-/// Creates the document of the next revision.
-fn build_document(stored: &StoredRules, edit_id: u64, new_rules: &RuleSet) -> RulesDocument {
-    let earlier_edits =
-        stored.document.iter().flat_map(|document| document.recent_edits.iter().copied());
-    let recent_edits =
-        std::iter::once(edit_id).chain(earlier_edits).take(MAX_RECENT_EDITS).collect();
-    RulesDocument {
-        revision: stored.revision() + 1,
-        edit: edit_id,
-        recent_edits,
-        text: new_rules.to_text(),
-    }
-}
-
 /// Waits until a revision, or a later one, is in force on all listed hosts.
 async fn wait_until_in_force(
     store: &StoreClient,
--- a/crates/mustardgrade-core/src/membership/controller.rs
+++ b/crates/mustardgrade-core/src/membership/controller.rs
@@ -7,10 +7,10 @@
 use super::digest::{HostDigest, HostState};
 use super::events::{
     ControllerInput, ControllerOptions, ControllerOutput, PeerConfiguration, StoredPlacement,
-    StoredRules,
 };
 use super::member::MemberTable;
 use super::steps::{JoinStep, LeaveStep, PartitionRecovery};
+use super::stored_rules::StoredRules;
 use crate::flow::{HostRoute, PlacementMode, RoutingSnapshot};
 use crate::identity::{DataCentreId, HostId, ServiceId, rendezvous_order};
 use crate::placement::{BucketIndex, BucketPhase, ClusterProgress, PlacementMap, PlacementPlanner};
@@ -222,6 +222,10 @@
             }
             ControllerInput::RulesReceived(rules) => self.apply_rules(rules),
             ControllerInput::PlacementReceived(placement) => self.apply_placement(placement, now),
+            ControllerInput::RulesRead(stored) => self.handle_rules_read(stored, outputs),
+            ControllerInput::PlacementRead(stored) => {
+                self.handle_placement_read(stored, now, outputs)
+            }
             ControllerInput::AllExceptionsFetched { peer, generation } => {
                 self.complete_exceptions_fetch(peer, generation);
             }
--- a/crates/mustardgrade-core/src/membership/events.rs
+++ b/crates/mustardgrade-core/src/membership/events.rs
@@ -6,10 +6,10 @@
 
 use super::digest::HostDigest;
 use super::member::{ListedHost, MemberTableOptions};
+use super::stored_rules::StoredRules;
 use crate::flow::{PlacementMode, RoutingSnapshot};
 use crate::identity::{DataCentreId, HostId, HostIncarnation, ServiceId};
 use crate::placement::{BucketIndex, PlacementMap, PlannerOptions};
-use crate::rule::RuleSet;
 
 /// `ControllerOptions` holds the settings of a [`HostController`].
 #[derive(Debug, Clone)]
@@ -31,15 +31,6 @@
     pub planner: PlannerOptions,
 }
 
-/// `StoredRules` is a revision of the rules that the store has accepted.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct StoredRules {
-    /// Revision number.
-    pub revision: u64,
-    /// Rules of this revision.
-    pub rule_set: Arc<RuleSet>,
-}
-
 /// `StoredPlacement` is a published generation of the placement.
 pub type StoredPlacement = Arc<PlacementMap>;
 
@@ -65,10 +56,14 @@
     HostListRead(Vec<ListedHost>),
     /// A peer has sent the addresses of the hosts that it knows.
     PeerAddressesReceived(Vec<Ipv4Addr>),
-    /// Rules have been read from the store or a peer.
+    /// A peer has sent the rules that it has in force.
     RulesReceived(StoredRules),
-    /// A placement has been read from the store or a peer.
+    /// A peer has sent the placement that it has in force, or the store has accepted one.
     PlacementReceived(StoredPlacement),
+    /// The rules have been read from the store; `None` if it holds none.
+    RulesRead(Option<StoredRules>),
+    /// The placement has been read from the store; `None` if it holds none.
+    PlacementRead(Option<StoredPlacement>),
     /// All settled exceptions that a peer knows have been fetched and installed.
     AllExceptionsFetched {
         /// Address of the peer.
@@ -130,6 +125,17 @@
     ReadStore,
     /// Write a placement generation to the store if the store still holds its predecessor.
     WritePlacement(StoredPlacement),
+    /// Write rules to the store again, which has lost them, if it still holds the revision
+    /// `replaced_revision`; 0 stands for none.
+    RestoreRules {
+        /// Rules to write.
+        rules: StoredRules,
+        /// Revision that the store held when it was read.
+        replaced_revision: u64,
+    },
+    /// Write a placement generation to the store again, which has lost it, if the store still holds
+    /// an earlier one.
+    RestorePlacement(StoredPlacement),
     /// Install a routing snapshot on the traffic threads.
     InstallSnapshot(Arc<RoutingSnapshot>),
     /// Tell the traffic threads at what time the tables were last confirmed to be up to date; zero
--- a/crates/mustardgrade-core/src/membership/mod.rs
+++ b/crates/mustardgrade-core/src/membership/mod.rs
@@ -12,14 +12,18 @@
 mod publishing;
 mod settling;
 mod steps;
+mod store_repair;
+mod stored_rules;
 
 pub use controller::HostController;
 pub use digest::{HostDigest, HostState};
 pub use events::{
     ControllerInput, ControllerOptions, ControllerOutput, PeerConfiguration, RecordKeeper,
-    StoredPlacement, StoredRules,
+    StoredPlacement,
 };
 pub use member::{KnownHost, ListedHost, MemberTable, MemberTableOptions};
 
+pub use stored_rules::{MAX_RECENT_EDITS, RulesRelation, StoredRules};
+
 #[cfg(test)]
 mod tests;
--- a/crates/mustardgrade-core/src/membership/tests.rs
+++ b/crates/mustardgrade-core/src/membership/tests.rs
@@ -102,9 +102,8 @@
     assert!(table.apply_progress(&digest(1, 1, 1)).has_silent_listed_host);
 }
 
-#[test]
-fn digest_reports_rules_and_placement_only_when_packets_are_routed_by_them() {
-    let mut controller = HostController::new(ControllerOptions {
+fn controller() -> HostController {
+    HostController::new(ControllerOptions {
         local_incarnation: HostIncarnation { host: HostId(1), incarnation: 1 },
         address: Ipv4Addr::new(10, 0, 0, 1),
         data_centre: DATA_CENTRE,
@@ -112,8 +111,14 @@
         placement_mode: PlacementMode::Guarded,
         member_table: MemberTableOptions::default(),
         planner: PlannerOptions::default(),
-    });
-    let rules = StoredRules { revision: 4, rule_set: Arc::new(RuleSet::default()) };
+    })
+}
+
+#[test]
+fn digest_reports_rules_and_placement_only_when_packets_are_routed_by_them() {
+    let mut controller = controller();
+    let rules =
+        StoredRules { revision: 4, recent_edits: vec![4], rule_set: Arc::new(RuleSet::default()) };
     let placement = PlacementMap { generation: 7, rules_revision: 4, tables: Vec::new() };
     let mut outputs = Vec::new();
     let now = Duration::from_secs(1);
@@ -133,3 +138,65 @@
     controller.handle(installed, now, &mut outputs);
     assert_eq!(reported(&controller), (4, 7));
 }
+
+fn stored_rules(revision: u64, recent_edits: &[u64]) -> StoredRules {
+    let rule_set = Arc::new(RuleSet::default());
+    StoredRules { revision, recent_edits: recent_edits.to_vec(), rule_set }
+}
+
+#[test]
+fn rules_of_a_restored_store_are_told_from_those_of_an_edit_that_it_accepted_since() {
+    let known = stored_rules(8, &[80, 70, 60, 50]);
+    let relation = |revision, edits: &[u64]| known.relation_of(&stored_rules(revision, edits));
+    assert_eq!(relation(9, &[90, 80, 70]), RulesRelation::Newer);
+    assert_eq!(relation(8, &[80, 70, 60, 50]), RulesRelation::Current);
+    assert_eq!(relation(6, &[60, 50]), RulesRelation::Lost);
+    assert_eq!(relation(6, &[61, 50]), RulesRelation::Diverged);
+    assert_eq!(relation(8, &[81, 70, 60, 50]), RulesRelation::Diverged);
+    // Edits that old are not listed any more, and documents without edits tell nothing.
+    assert_eq!(relation(4, &[40, 30]), RulesRelation::Lost);
+    assert_eq!(relation(7, &[]), RulesRelation::Lost);
+    let next = known.followed_by(&stored_rules(7, &[71, 61, 50]));
+    assert_eq!((next.revision, next.recent_edits), (9, vec![71, 61, 80, 70, 60, 50]));
+}
+
+#[test]
+fn values_that_the_store_has_lost_are_written_again() {
+    let mut controller = controller();
+    let mut outputs = Vec::new();
+    let now = Duration::from_secs(1);
+    let known = stored_rules(8, &[80, 70]);
+    let placement = Arc::new(PlacementMap { generation: 7, ..PlacementMap::default() });
+    controller.handle(ControllerInput::RulesReceived(known.clone()), now, &mut outputs);
+    controller.handle(
+        ControllerInput::PlacementReceived(Arc::clone(&placement)),
+        now,
+        &mut outputs,
+    );
+    let repairs = |controller: &mut HostController, input: ControllerInput| {
+        let mut outputs = Vec::new();
+        controller.handle(input, now, &mut outputs);
+        outputs.retain(|output| {
+            matches!(
+                output,
+                ControllerOutput::RestoreRules { .. } | ControllerOutput::RestorePlacement(_)
+            )
+        });
+        outputs
+    };
+    let older = stored_rules(7, &[70]);
+    assert_eq!(
+        repairs(&mut controller, ControllerInput::RulesRead(Some(older))),
+        [ControllerOutput::RestoreRules { rules: known.clone(), replaced_revision: 7 }]
+    );
+    assert_eq!(
+        repairs(&mut controller, ControllerInput::RulesRead(None)),
+        [ControllerOutput::RestoreRules { rules: known.clone(), replaced_revision: 0 }]
+    );
+    assert_eq!(
+        repairs(&mut controller, ControllerInput::PlacementRead(None)),
+        [ControllerOutput::RestorePlacement(Arc::clone(&placement))]
+    );
+    assert!(repairs(&mut controller, ControllerInput::RulesRead(Some(known))).is_empty());
+    assert!(repairs(&mut controller, ControllerInput::PlacementRead(Some(placement))).is_empty());
+}
--- a/crates/mustardgrade-node/src/control/actor.rs
+++ b/crates/mustardgrade-node/src/control/actor.rs
@@ -9,7 +9,8 @@
 use kameo::message::{Context, Message};
 use mustardgrade_core::clock::Clock;
 use mustardgrade_core::membership::{
-    ControllerInput, HostController, HostDigest, HostState, PeerConfiguration, StoredRules,
+    ControllerInput, HostController, HostDigest, HostState, PeerConfiguration, StoredPlacement,
+    StoredRules,
 };
 use mustardgrade_core::placement::BucketPhase;
 use mustardgrade_core::request::build_request_snapshot;
@@ -23,7 +24,9 @@
 use crate::clock::UnixClock;
 use crate::metrics::HostMetrics;
 use crate::settings::HostSettings;
-use crate::store::{ReadReply, RulesDocument, StoreClient, decode_placement, decode_rules};
+use crate::store::{
+    ReadReply, Result, RulesDocument, StoreClient, StoredValue, decode_placement, decode_rules,
+};
 use crate::traffic::{SharedTrafficState, TrafficCommand};
 
 /// `ControlResources` holds the settings, clients and channels that the control actor uses.
@@ -83,10 +86,14 @@
     Placement(ReadReply),
 }
 
-/// `PlacementWriteFinished` tells the control actor that a placement write has ended, successfully
-/// or not.
+/// `StoreWriteFinished` tells the control actor that a write has ended, successfully or not.
 #[derive(Debug)]
-pub struct PlacementWriteFinished;
+pub enum StoreWriteFinished {
+    /// The write of a placement.
+    Placement,
+    /// The write of rules.
+    Rules,
+}
 
 /// `ControlActor` owns the [`HostController`] and performs its outputs.
 #[derive(Debug)]
@@ -94,8 +101,8 @@
     pub(super) controller: HostController,
     pub(super) resources: ControlResources,
     pub(super) sealer: FrameSealer,
-    pub(super) rules_document: Option<Arc<RulesDocument>>,
     pub(super) is_writing_placement: bool,
+    pub(super) is_writing_rules: bool,
     last_logged_state: HostState,
 }
 
@@ -111,8 +118,8 @@
             controller,
             resources,
             sealer,
-            rules_document: None,
             is_writing_placement: false,
+            is_writing_rules: false,
             last_logged_state: HostState::Joining,
         }
     }
@@ -128,29 +135,15 @@
         self.log_state_change();
     }
 
-    /// Puts the rules of a document in force if its revision is newer than the current one.
-    pub(super) fn apply_rules_document(
-        &mut self,
-        document: RulesDocument,
-        actor_ref: &ActorRef<Self>,
-    ) {
-        let current_revision = self.rules_document.as_ref().map_or(0, |current| current.revision);
-        if document.revision <= current_revision {
-            return;
-        }
-        match document.parse_rule_set() {
-            Ok(rule_set) => {
-                let revision = document.revision;
-                let rule_set = Arc::new(rule_set);
-                self.resources.rules.send_replace(Arc::clone(&rule_set));
-                self.rules_document = Some(Arc::new(document));
-                log::info!(revision; "rules in force");
-                self.handle_input(
-                    ControllerInput::RulesReceived(StoredRules { revision, rule_set }),
-                    actor_ref,
-                );
-            }
-            Err(error) => log::error!(error:% = error; "invalid rules document ignored"),
+    /// Passes an input that may bring new rules to the controller, and puts these in force for
+    /// requests.
+    fn handle_rules_input(&mut self, input: ControllerInput, actor_ref: &ActorRef<Self>) {
+        let revision_before = self.controller.rules().map_or(0, |rules| rules.revision);
+        self.handle_input(input, actor_ref);
+        let Some(rules) = self.controller.rules() else { return };
+        if rules.revision > revision_before {
+            self.resources.rules.send_replace(Arc::clone(&rules.rule_set));
+            log::info!(revision = rules.revision; "rules in force");
         }
     }
 
@@ -222,7 +215,10 @@
     type Args = Self;
     type Error = Infallible;
 
-    async fn on_start(actor: Self, _actor_ref: ActorRef<Self>) -> Result<Self, Infallible> {
+    async fn on_start(
+        actor: Self,
+        _actor_ref: ActorRef<Self>,
+    ) -> std::result::Result<Self, Infallible> {
         Ok(actor)
     }
 
@@ -230,7 +226,7 @@
         &mut self,
         _actor_ref: WeakActorRef<Self>,
         _reason: kameo::error::ActorStopReason,
-    ) -> Result<(), Infallible> {
+    ) -> std::result::Result<(), Infallible> {
         self.resources.leave_complete.send_replace(true);
         Ok(())
     }
@@ -255,38 +251,46 @@
     async fn handle(&mut self, read: StoreRead, context: &mut Context<Self, ()>) {
         let actor_ref = context.actor_ref().clone();
         match read {
-            StoreRead::Rules(reply) => {
-                let Some(stored) = reply.value else { return };
-                match decode_rules(&stored.value) {
-                    Ok(document) => self.apply_rules_document(document, &actor_ref),
-                    Err(error) => log::error!(error:% = error; "stored rules cannot be decoded"),
-                }
-            }
-            StoreRead::Placement(reply) => {
-                let Some(stored) = reply.value else { return };
-                match decode_placement(&stored.value) {
-                    Ok(placement) => self.handle_input(
-                        ControllerInput::PlacementReceived(Arc::new(placement)),
-                        &actor_ref,
-                    ),
-                    Err(error) => {
-                        log::error!(error:% = error; "stored placement cannot be decoded")
-                    }
+            StoreRead::Rules(reply) => match decode_stored_rules(reply.value.as_ref()) {
+                Ok(stored) => {
+                    self.handle_rules_input(ControllerInput::RulesRead(stored), &actor_ref)
                 }
-            }
+                Err(error) => log::error!(error:% = error; "stored rules cannot be used"),
+            },
+            StoreRead::Placement(reply) => match decode_stored_placement(reply.value.as_ref()) {
+                Ok(stored) => self.handle_input(ControllerInput::PlacementRead(stored), &actor_ref),
+                Err(error) => log::error!(error:% = error; "stored placement cannot be decoded"),
+            },
         }
         self.publish();
     }
 }
 
-impl Message<PlacementWriteFinished> for ControlActor {
+impl Message<StoreWriteFinished> for ControlActor {
     type Reply = ();
 
-    async fn handle(&mut self, _message: PlacementWriteFinished, _context: &mut Context<Self, ()>) {
-        self.is_writing_placement = false;
+    async fn handle(&mut self, finished: StoreWriteFinished, _context: &mut Context<Self, ()>) {
+        match finished {
+            StoreWriteFinished::Placement => self.is_writing_placement = false,
+            StoreWriteFinished::Rules => self.is_writing_rules = false,
+        }
     }
 }
 
+/// Decodes the rules that were read from the store, if it holds any.
+pub(super) fn decode_stored_rules(stored: Option<&StoredValue>) -> Result<Option<StoredRules>> {
+    let Some(stored) = stored else { return Ok(None) };
+    decode_rules(&stored.value)?.to_stored_rules().map(Some)
+}
+
+/// Decodes the placement that was read from the store, if it holds one.
+pub(super) fn decode_stored_placement(
+    stored: Option<&StoredValue>,
+) -> Result<Option<StoredPlacement>> {
+    let Some(stored) = stored else { return Ok(None) };
+    Ok(Some(Arc::new(decode_placement(&stored.value)?)))
+}
+
 /// `ApplyPeerRules` passes the rules that a peer has in force to the control actor.
 #[derive(Debug)]
 pub(super) struct ApplyPeerRules(pub(super) RulesDocument);
@@ -296,7 +300,10 @@
 
     async fn handle(&mut self, message: ApplyPeerRules, context: &mut Context<Self, ()>) {
         let actor_ref = context.actor_ref().clone();
-        self.apply_rules_document(message.0, &actor_ref);
+        match message.0.to_stored_rules() {
+            Ok(rules) => self.handle_rules_input(ControllerInput::RulesReceived(rules), &actor_ref),
+            Err(error) => log::error!(error:% = error; "rules of a peer cannot be used"),
+        }
     }
 }
 
@@ -306,10 +313,7 @@
 
 /// `ConfigurationReply` is the reply to [`GetConfiguration`].
 #[derive(Debug, kameo::Reply)]
-pub(super) struct ConfigurationReply {
-    pub(super) rules_document: Option<Arc<RulesDocument>>,
-    pub(super) configuration: PeerConfiguration,
-}
+pub(super) struct ConfigurationReply(pub(super) PeerConfiguration);
 
 impl Message<GetConfiguration> for ControlActor {
     type Reply = ConfigurationReply;
@@ -319,9 +323,6 @@
         _message: GetConfiguration,
         _context: &mut Context<Self, ConfigurationReply>,
     ) -> ConfigurationReply {
-        ConfigurationReply {
-            rules_document: self.rules_document.clone(),
-            configuration: self.controller.peer_configuration(),
-        }
+        ConfigurationReply(self.controller.peer_configuration())
     }
 }
--- a/crates/mustardgrade-node/src/control/effects.rs
+++ b/crates/mustardgrade-node/src/control/effects.rs
@@ -13,7 +13,7 @@
 use mustardgrade_wire::peer::{DigestBody, PeerCall, PeerMessage, PeerReply, ServiceRecordList};
 use tokio::sync::{mpsc, oneshot};
 
-use super::actor::{ApplyPeerRules, ControlActor, PlacementWriteFinished, StoreRead};
+use super::actor::{ApplyPeerRules, ControlActor, StoreRead, StoreWriteFinished};
 use crate::calls::CallClient;
 use crate::metrics::{HostMetrics, SentByteKind};
 use crate::store::{
@@ -46,6 +46,12 @@
             ControllerOutput::WritePlacement(placement) => {
                 self.write_placement(placement, actor_ref)
             }
+            ControllerOutput::RestoreRules { rules, replaced_revision } => {
+                self.restore_rules(&rules, replaced_revision, actor_ref)
+            }
+            ControllerOutput::RestorePlacement(placement) => {
+                self.restore_placement(placement, actor_ref)
+            }
             ControllerOutput::InstallSnapshot(snapshot) => {
                 self.install_snapshot(snapshot, actor_ref)
             }
@@ -102,7 +108,8 @@
             let reply = call_client.call(address, &PeerCall::Configuration).await;
             let Ok(PeerReply::Configuration {
                 rules_revision: revision,
-                rules_text,
+                recent_edits,
+                rules_text: text,
                 placement,
                 host_addresses,
             }) = reply
@@ -112,8 +119,8 @@
             let _result =
                 actor_ref.tell(ControllerInput::PeerAddressesReceived(host_addresses)).await;
             if revision > 0 {
-                let document =
-                    RulesDocument { revision, edit: 0, recent_edits: Vec::new(), text: rules_text };
+                let edit = recent_edits.first().copied().unwrap_or_default();
+                let document = RulesDocument { revision, edit, recent_edits, text };
                 let _result = actor_ref.tell(ApplyPeerRules(document)).await;
             }
             let _result =
@@ -213,7 +220,7 @@
         let actor_ref = actor_ref.clone();
         tokio::spawn(async move {
             publish_placement(&store, &metrics, &placement, &actor_ref).await;
-            let _result = actor_ref.tell(PlacementWriteFinished).await;
+            let _result = actor_ref.tell(StoreWriteFinished::Placement).await;
         });
     }
 }
--- a/crates/mustardgrade-node/src/control/tasks.rs
+++ b/crates/mustardgrade-node/src/control/tasks.rs
@@ -19,7 +19,7 @@
 use super::effects::{bucket_exceptions_reply, merge_records, send_transfer};
 use crate::calls::{CallClient, IncomingCall, serve_calls};
 use crate::metrics::HostMetrics;
-use crate::store::{PLACEMENT_KEY, RULES_KEY, ReadReply, StoreClient};
+use crate::store::{PLACEMENT_KEY, RULES_KEY, ReadReply, RulesDocument, StoreClient};
 use crate::traffic::{BucketExceptionsRequest, SharedTrafficState, TrafficCommand};
 
 /// Interval between two ticks of the controller.
@@ -248,22 +248,17 @@
 
 async fn configuration_reply(actor: &ActorRef<ControlActor>) -> PeerReply {
     let Ok(reply) = actor.ask(GetConfiguration).await else { return PeerReply::Declined };
-    let placement =
-        reply.configuration.placement.map(|placement| (*placement).clone()).unwrap_or_default();
-    let host_addresses = reply.configuration.host_addresses;
-    match reply.rules_document {
-        Some(document) => PeerReply::Configuration {
-            rules_revision: document.revision,
-            rules_text: document.text.clone(),
-            placement,
-            host_addresses,
-        },
-        None => PeerReply::Configuration {
-            rules_revision: 0,
-            rules_text: String::new(),
-            placement,
-            host_addresses,
-        },
+    let configuration = reply.0;
+    let document = configuration.rules.as_ref().map(RulesDocument::new).unwrap_or_default();
+    PeerReply::Configuration {
+        rules_revision: document.revision,
+        recent_edits: document.recent_edits,
+        rules_text: document.text,
+        placement: configuration
+            .placement
+            .map(|placement| (*placement).clone())
+            .unwrap_or_default(),
+        host_addresses: configuration.host_addresses,
     }
 }
 
@@ -274,7 +269,7 @@
     // The generation is read before the exceptions, so that none of this generation is missing;
     // exceptions that are settled in between are included as well.
     let Ok(reply) = actor.ask(GetConfiguration).await else { return PeerReply::Declined };
-    let generation = reply.configuration.placement.map_or(0, |placement| placement.generation);
+    let generation = reply.0.placement.map_or(0, |placement| placement.generation);
     // Exceptions are the same on all threads, but each thread records flows of its own buckets.
     match collect_record_lists(traffic_threads, TrafficCommand::ListAllExceptions).await {
         Some(record_lists) => PeerReply::Records { generation, record_lists },
--- a/crates/mustardgrade-node/src/metrics/registry.rs
+++ b/crates/mustardgrade-node/src/metrics/registry.rs
@@ -126,6 +126,8 @@
     pub store_calls: AtomicU64,
     /// Failed calls to the store.
     pub store_failures: AtomicU64,
+    /// Values that the store had lost and this host has written again.
+    pub store_repairs: AtomicU64,
     /// Complete reads of the registry from the store.
     pub registry_reads: AtomicU64,
     /// Changes from the store that were ignored as outdated although their content was not in force.
@@ -162,6 +164,7 @@
             live_hosts: AtomicU64::new(0),
             store_calls: AtomicU64::new(0),
             store_failures: AtomicU64::new(0),
+            store_repairs: AtomicU64::new(0),
             registry_reads: AtomicU64::new(0),
             ignored_changes: AtomicU64::new(0),
             // 1 ms to 16 s: shorter times are network latency, and no caller waits longer.
@@ -357,6 +360,11 @@
             ),
             ("store_calls", "Calls to the store", load(&metrics.store_calls)),
             ("store_failures", "Failed calls to the store", load(&metrics.store_failures)),
+            (
+                "store_repairs",
+                "Values that the store had lost and this host has written again",
+                load(&metrics.store_repairs),
+            ),
             (
                 "registry_reads",
                 "Complete reads of the registry from the store",
--- a/crates/mustardgrade-node/src/store/document.rs
+++ b/crates/mustardgrade-node/src/store/document.rs
@@ -1,5 +1,8 @@
 //! Values that are kept in the store: the rules and the placement.
 
+use std::sync::Arc;
+
+use mustardgrade_core::membership::{MAX_RECENT_EDITS, StoredRules};
 use mustardgrade_core::placement::PlacementMap;
 use mustardgrade_core::rule::{RuleSet, parse_rules};
 use serde::{Deserialize, Serialize};
@@ -13,7 +16,7 @@
 pub const PLACEMENT_KEY: &str = "mustardgrade/placement";
 
 /// `RulesDocument` is the stored form of an accepted revision of the rules.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RulesDocument {
     /// Revision number, which increases by one with each accepted edit.
@@ -28,6 +31,43 @@
 }
 
 impl RulesDocument {
+    /// Creates the document of a revision.
+    #[must_use]
+    pub fn new(rules: &StoredRules) -> Self {
+        Self {
+            revision: rules.revision,
+            edit: rules.recent_edits.first().copied().unwrap_or_default(),
+            recent_edits: rules.recent_edits.clone(),
+            text: rules.rule_set.to_text(),
+        }
+    }
+
+    /// Creates the document of the revision after `stored`, which the edit `edit` leads to.
+    #[must_use]
+    pub fn next(stored: Option<&Self>, edit: u64, rule_set: &RuleSet) -> Self {
+        let earlier_edits = stored.into_iter().flat_map(|stored| stored.recent_edits.iter());
+        let recent_edits = std::iter::once(&edit).chain(earlier_edits).take(MAX_RECENT_EDITS);
+        Self {
+            revision: stored.map_or(0, |stored| stored.revision) + 1,
+            edit,
+            recent_edits: recent_edits.copied().collect(),
+            text: rule_set.to_text(),
+        }
+    }
+
+    /// Returns the revision that the document holds.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the text is not a valid rules file.
+    pub fn to_stored_rules(&self) -> Result<StoredRules> {
+        Ok(StoredRules {
+            revision: self.revision,
+            recent_edits: self.recent_edits.clone(),
+            rule_set: Arc::new(self.parse_rule_set()?),
+        })
+    }
+
     /// Parses the text of the document.
     ///
     /// # Errors
--- a/crates/mustardgrade-standin/src/platform/mod.rs
+++ b/crates/mustardgrade-standin/src/platform/mod.rs
@@ -5,4 +5,4 @@
 mod state;
 
 pub use server::{PlatformHandle, start_platform};
-pub use state::{CatalogueEntry, FaultMode, KeyRecord, PlatformState};
+pub use state::{CatalogueEntry, FaultMode, KeyRecord, PlatformCopy, PlatformState};
--- a/crates/mustardgrade-standin/src/platform/server.rs
+++ b/crates/mustardgrade-standin/src/platform/server.rs
@@ -17,7 +17,7 @@
 use serde_json::{Value, json};
 use tokio::sync::Notify;
 
-use super::state::{CatalogueEntry, FaultMode, PlatformState};
+use super::state::{CatalogueEntry, FaultMode, PlatformCopy, PlatformState};
 
 /// Delay of each call under [`FaultMode::Slow`].
 const SLOW_CALL_DELAY: Duration = Duration::from_secs(1);
@@ -59,6 +59,12 @@
         self.lock_state().hosts.remove(name);
     }
 
+    /// Returns the store to a copy and fails the watches that wait, as a restart does.
+    pub fn restore(&self, copy: PlatformCopy) {
+        self.lock_state().restore(copy);
+        self.state_changed.notify_waiters();
+    }
+
     /// Sets the fault to inject, or [`FaultMode::None`] to end it; waiting watches are woken.
     pub fn set_fault_mode(&self, fault_mode: FaultMode) {
         self.lock_state().fault_mode = fault_mode;
@@ -83,6 +89,8 @@
         .route("/standin/hosts", put(put_host))
         .route("/standin/hosts/{name}", axum::routing::delete(delete_host))
         .route("/standin/fault/{mode}", put(put_fault_mode))
+        .route("/standin/copy", put(take_copy))
+        .route("/standin/restore", put(restore_copy))
         .with_state(platform.clone());
     tokio::spawn(async move {
         if let Err(error) = axum::serve(listener, router).await {
@@ -125,8 +133,10 @@
         let timeout = query.get("wait").and_then(|text| text.strip_suffix("ms")?.parse().ok());
         let timeout =
             timeout.map_or(MAX_WATCH_TIMEOUT, Duration::from_millis).min(MAX_WATCH_TIMEOUT);
+        let restore_count = platform.lock_state().restore_count;
         wait_for_change(&platform, &key, known_index, timeout).await;
-        if platform.lock_state().fault_mode == FaultMode::Down {
+        let state = platform.lock_state();
+        if state.fault_mode == FaultMode::Down || state.restore_count != restore_count {
             return StatusCode::SERVICE_UNAVAILABLE.into_response();
         }
     }
@@ -150,6 +160,7 @@
     timeout: Duration,
 ) {
     let deadline = tokio::time::Instant::now() + timeout;
+    let restore_count = platform.lock_state().restore_count;
     loop {
         let notified = platform.state_changed.notified();
         {
@@ -160,6 +171,7 @@
             if current_index > known_index
                 || known_index == 0
                 || state.fault_mode == FaultMode::Down
+                || state.restore_count != restore_count
             {
                 return;
             }
@@ -294,6 +306,19 @@
     }
 }
 
+/// Takes the copy that a later call of `/standin/restore` returns to.
+async fn take_copy(State(platform): State<PlatformHandle>) -> StatusCode {
+    let mut state = platform.lock_state();
+    state.last_copy = state.copy();
+    StatusCode::OK
+}
+
+async fn restore_copy(State(platform): State<PlatformHandle>) -> StatusCode {
+    let copy = platform.lock_state().last_copy.clone();
+    platform.restore(copy);
+    StatusCode::OK
+}
+
 fn index_header(index: u64) -> HeaderMap {
     let mut headers = HeaderMap::new();
     headers.insert("X-Consul-Index", HeaderValue::from(index));
--- a/crates/mustardgrade-standin/src/platform/state.rs
+++ b/crates/mustardgrade-standin/src/platform/state.rs
@@ -58,6 +58,13 @@
     renewed_at: Instant,
 }
 
+/// `PlatformCopy` is a copy of the store's keys at some moment.
+#[derive(Debug, Clone, Default)]
+pub struct PlatformCopy {
+    last_index: u64,
+    keys: BTreeMap<String, KeyRecord>,
+}
+
 /// `PlatformState` is the content of the store and the catalogue, and the injected fault.
 #[derive(Debug, Default)]
 pub struct PlatformState {
@@ -70,12 +77,31 @@
     pub hosts: BTreeMap<String, CatalogueEntry>,
     /// Fault that is injected into answers.
     pub fault_mode: FaultMode,
+    /// Copy that was taken last.
+    pub last_copy: PlatformCopy,
+    /// Number of times that the store has returned to a copy.
+    pub restore_count: u64,
     /// Calls received, including failed ones and watches that are still waiting.
     pub call_count: u64,
     sessions: BTreeMap<String, SessionRecord>,
 }
 
 impl PlatformState {
+    /// Returns a copy of the keys, to restore later.
+    #[must_use]
+    pub fn copy(&self) -> PlatformCopy {
+        PlatformCopy { last_index: self.last_index, keys: self.keys.clone() }
+    }
+
+    /// Returns to a copy: keys and indices are those of the copy, sessions are gone.
+    pub fn restore(&mut self, copy: PlatformCopy) {
+        self.last_index = copy.last_index;
+        self.keys = copy.keys;
+        self.sessions.clear();
+        self.keys.values_mut().for_each(|record| record.session = None);
+        self.restore_count += 1;
+    }
+
     /// Writes a key and returns whether it was written.
     ///
     /// With `expected_index`, this is a compare-and-swap: the key is written only if its
@@ -101,7 +127,7 @@
     /// Creates a session with the given TTL and returns its ID.
     pub fn create_session(&mut self, ttl: Duration) -> String {
         self.last_index += 1;
-        let id = format!("session-{}", self.last_index);
+        let id = format!("session-{}-{}", self.restore_count, self.last_index);
         self.sessions.insert(id.clone(), SessionRecord { ttl, renewed_at: Instant::now() });
         id
     }
--- a/crates/mustardgrade-standin/src/trial/setup.rs
+++ b/crates/mustardgrade-standin/src/trial/setup.rs
@@ -220,16 +220,10 @@
             Some(entry) => Some(decode_rules(&entry.value)?),
             None => None,
         };
-        let revision = current_document.map_or(1, |document| document.revision + 1);
-        let document = RulesDocument {
-            revision,
-            edit: rand::random(),
-            recent_edits: Vec::new(),
-            text: rules.to_text(),
-        };
+        let document = RulesDocument::next(current_document.as_ref(), rand::random(), rules);
         let expected_index = stored.value.map_or(0, |entry| entry.modify_index);
         self.store.write(RULES_KEY, &encode_rules(&document), expected_index).await?;
-        Ok(revision)
+        Ok(document.revision)
     }
 }
 
--- a/crates/mustardgrade-standin/src/world/control.rs
+++ b/crates/mustardgrade-standin/src/world/control.rs
@@ -10,7 +10,9 @@
 use mustardgrade_wire::peer::{DigestBody, FleetKey, FleetKeys, FrameSealer, PeerMessage};
 
 use super::Simulation;
-use super::event::{RecordDelivery, ServiceRecords, SimulationEvent, TrafficThreadWork};
+use super::event::{
+    RecordDelivery, ServiceRecords, SimulationEvent, StoreRepair, TrafficThreadWork,
+};
 
 /// Time for which flow binding updates are collected before they are sent as one batch.
 const UPDATE_FLUSH_DELAY: Duration = Duration::from_millis(10);
@@ -69,6 +71,13 @@
                         .push(at, SimulationEvent::StoreWriteReceived { host, run_id, placement });
                 }
             }
+            ControllerOutput::RestoreRules { rules, replaced_revision } => {
+                let repair = StoreRepair::Rules { rules, replaced_revision };
+                self.schedule_store_repair(host, repair);
+            }
+            ControllerOutput::RestorePlacement(placement) => {
+                self.schedule_store_repair(host, StoreRepair::Placement(placement));
+            }
             ControllerOutput::InstallSnapshot(snapshot) => {
                 self.hosts[host].published_snapshot = Some(snapshot);
                 self.schedule_traffic_thread(host, TrafficThreadWork::TakeSnapshot);
@@ -83,6 +92,12 @@
         }
     }
 
+    fn schedule_store_repair(&mut self, host: usize, repair: StoreRepair) {
+        let at = self.now + self.draw_one_way_store_delay();
+        let repair = Box::new(repair);
+        self.event_queue.push(at, SimulationEvent::StoreRepairReceived { host, repair });
+    }
+
     fn send_digest(&mut self, host: usize, recipients: &[Ipv4Addr], digest: &HostDigest) {
         let bytes = sealed_digest_bytes(digest);
         for address in recipients {
--- a/crates/mustardgrade-standin/src/world/event.rs
+++ b/crates/mustardgrade-standin/src/world/event.rs
@@ -4,7 +4,7 @@
 
 use mustardgrade_core::flow::{BindingRecord, BindingUpdate, FlowPacket, HopHeader};
 use mustardgrade_core::identity::{DataCentreId, ServiceId, UpstreamId};
-use mustardgrade_core::membership::{ControllerInput, StoredPlacement};
+use mustardgrade_core::membership::{ControllerInput, StoredPlacement, StoredRules};
 use mustardgrade_core::request::{CallerReply, RequestInput};
 
 /// `RecordDelivery` holds the flow records that one or more calls between hosts carry.
@@ -31,6 +31,15 @@
     InstallExceptions(Vec<ServiceRecords>, ControllerInput),
 }
 
+/// `StoreRepair` is a value that the store has lost and a host writes again.
+#[derive(Debug)]
+pub(super) enum StoreRepair {
+    /// Rules, to be written if the store still holds the revision `replaced_revision`.
+    Rules { rules: StoredRules, replaced_revision: u64 },
+    /// A placement, to be written if the store still holds an earlier one.
+    Placement(StoredPlacement),
+}
+
 /// `ServiceRecords` holds the flow records of one service.
 pub(super) type ServiceRecords = (ServiceId, Vec<BindingRecord>);
 
@@ -68,6 +77,8 @@
     StoreReadCompleted { host: usize, run_id: u32 },
     /// A placement write reaches the store.
     StoreWriteReceived { host: usize, run_id: u32, placement: StoredPlacement },
+    /// A value that a host writes back reaches the store.
+    StoreRepairReceived { host: usize, repair: Box<StoreRepair> },
     /// A host receives the platform's host list.
     HostListReadCompleted { host: usize, run_id: u32 },
     /// A caller sends or retransmits a segment of a flow.
@@ -136,6 +147,7 @@
             | Self::RequestRouterTick { host, .. }
             | Self::RequestRouterInput { host, .. } => Some(*host),
             Self::StoreWriteReceived { .. }
+            | Self::StoreRepairReceived { .. }
             | Self::SendSegment { .. }
             | Self::CloseFlow { .. }
             | Self::OpenNewFlows
--- a/crates/mustardgrade-standin/src/world/mod.rs
+++ b/crates/mustardgrade-standin/src/world/mod.rs
@@ -148,6 +148,9 @@
             SimulationEvent::StoreWriteReceived { host, run_id, placement } => {
                 self.write_placement(host, run_id, placement)
             }
+            SimulationEvent::StoreRepairReceived { host, repair } => {
+                self.repair_store(host, *repair)
+            }
             SimulationEvent::HostListReadCompleted { host, run_id } => {
                 self.complete_host_list_read(host, run_id)
             }
--- a/crates/mustardgrade-standin/src/world/store.rs
+++ b/crates/mustardgrade-standin/src/world/store.rs
@@ -3,11 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use mustardgrade_core::membership::{ControllerInput, StoredPlacement, StoredRules};
+use mustardgrade_core::membership::{
+    ControllerInput, MAX_RECENT_EDITS, StoredPlacement, StoredRules,
+};
 use mustardgrade_core::rule::RuleSet;
 
 use super::Simulation;
-use super::event::SimulationEvent;
+use super::event::{SimulationEvent, StoreRepair};
 use crate::scenario::StoreFault;
 
 /// Additional one-way delay of a store with the fault `Slow`.
@@ -30,6 +32,8 @@
     pub(super) contents: StoreContents,
     /// Contents after each accepted write, with its time.
     history: Vec<(Duration, StoreContents)>,
+    /// Number of edits of the rules, lost ones included; identifies the last of them.
+    edit_count: u64,
     pub(super) fault: Option<StoreFault>,
     pub(super) call_count: u64,
 }
@@ -37,8 +41,13 @@
 impl SimulatedStore {
     /// Stores the rules under the next revision and returns it.
     pub(super) fn put_rules(&mut self, rule_set: Arc<RuleSet>, now: Duration) -> u64 {
-        let revision = self.contents.rules.as_ref().map_or(1, |rules| rules.revision + 1);
-        self.contents.rules = Some(StoredRules { revision, rule_set });
+        let stored = self.contents.rules.as_ref();
+        let revision = stored.map_or(1, |rules| rules.revision + 1);
+        self.edit_count += 1;
+        let earlier_edits = stored.into_iter().flat_map(|rules| rules.recent_edits.iter().copied());
+        let edits = std::iter::once(self.edit_count).chain(earlier_edits).take(MAX_RECENT_EDITS);
+        let recent_edits = edits.collect();
+        self.contents.rules = Some(StoredRules { revision, recent_edits, rule_set });
         self.record_write(now);
         revision
     }
@@ -55,6 +64,18 @@
         self.contents = last_copied.unwrap_or_default();
     }
 
+    fn accepts_repair(&self, repair: &StoreRepair) -> bool {
+        let StoreContents { rules, placement } = &self.contents;
+        match repair {
+            StoreRepair::Rules { replaced_revision, .. } => {
+                rules.as_ref().map_or(0, |rules| rules.revision) == *replaced_revision
+            }
+            StoreRepair::Placement(lost) => {
+                placement.as_ref().map_or(0, |stored| stored.generation) < lost.generation
+            }
+        }
+    }
+
     fn is_unavailable(&self) -> bool {
         self.fault == Some(StoreFault::Down)
     }
@@ -89,8 +110,7 @@
             return;
         }
         self.store.call_count += 2;
-        let is_reachable = self.network.can_reach_store(self.hosts[host].data_centre);
-        if self.store.is_unavailable() || !is_reachable {
+        if self.store_is_unavailable_to(host) {
             if self.hosts[host].is_watcher {
                 self.event_queue.push(
                     self.now + STORE_RETRY_DELAY,
@@ -99,12 +119,28 @@
             }
             return;
         }
-        if let Some(rules) = self.store.contents.rules.clone() {
-            self.handle_controller_input(host, ControllerInput::RulesReceived(rules));
+        let StoreContents { rules, placement } = self.store.contents.clone();
+        self.handle_controller_input(host, ControllerInput::RulesRead(rules));
+        self.handle_controller_input(host, ControllerInput::PlacementRead(placement));
+    }
+
+    /// Handles the arrival of a value that a host writes back; the store accepts it only if it still
+    /// holds the older one.
+    pub(super) fn repair_store(&mut self, host: usize, repair: StoreRepair) {
+        self.store.call_count += 2;
+        if self.store_is_unavailable_to(host) || !self.store.accepts_repair(&repair) {
+            return;
         }
-        if let Some(placement) = self.store.contents.placement.clone() {
-            self.handle_controller_input(host, ControllerInput::PlacementReceived(placement));
+        match repair {
+            StoreRepair::Rules { rules, .. } => self.store.contents.rules = Some(rules),
+            StoreRepair::Placement(placement) => self.store.contents.placement = Some(placement),
         }
+        self.store.record_write(self.now);
+        self.notify_watchers();
+    }
+
+    fn store_is_unavailable_to(&self, host: usize) -> bool {
+        self.store.is_unavailable() || !self.network.can_reach_store(self.hosts[host].data_centre)
     }
 
     /// Handles the arrival of a placement write at the store, which accepts it only if it still
@@ -112,8 +148,7 @@
     pub(super) fn write_placement(&mut self, host: usize, run_id: u32, placement: StoredPlacement) {
         self.hosts[host].store_write_pending = false;
         self.store.call_count += 2;
-        let is_reachable = self.network.can_reach_store(self.hosts[host].data_centre);
-        if self.store.is_unavailable() || !is_reachable {
+        if self.store_is_unavailable_to(host) {
             return;
         }
         let stored = &self.store.contents.placement;
--- a/crates/mustardgrade-wire/src/peer/message.rs
+++ b/crates/mustardgrade-wire/src/peer/message.rs
@@ -118,6 +118,8 @@
     Configuration {
         /// Revision of the rules; 0 if the callee has no rules.
         rules_revision: u64,
+        /// Identifiers of the edits that led to this revision, newest first.
+        recent_edits: Vec<u64>,
         /// Text of the rules file; empty if the callee has no rules.
         rules_text: String,
         /// Placement of all services.
