apply: judge an edit by its identifier, and wait while the store is behind the hosts

Before it writes, 'apply' asks the hosts whether they have a later revision than the store, and if so waits for them to write it back, or says so. Status pages are fetched side by side.

edit_of_a_restored_store_is_not_in_force_because_a_lost_revision_is_higher fails with the comparison as it was (8 >= 6 counted as in force).

--- a/crates/mustardgrade-cli/src/commands/apply.rs
+++ b/crates/mustardgrade-cli/src/commands/apply.rs
@@ -7,7 +7,7 @@
 use mustardgrade::core::rule::{DataCentreState, MergeOutcome, RuleSet, diff_rules, merge_rules};
 use mustardgrade::store::{RULES_KEY, RulesDocument, StoreClient, StoreError, encode_rules};
 
-use super::status::fetch_statuses;
+use super::status::{ListedHostStatus, fetch_statuses};
 use super::{
     CommandError, Result, StoredRules, block_on, load_rules, open_store, read_stored_rules,
 };
@@ -63,18 +63,22 @@
             edited_rules,
             base_rules,
             allow_last_data_centre: command.allow_last_data_centre,
+            status_port: command.status_port,
         };
         let outcome = submit_edit(&store, &edit).await?;
-        match outcome {
+        let target = match outcome {
             EditOutcome::Unchanged(revision) => {
-                println!("revision {revision} already contains these rules")
+                println!("revision {revision} already contains these rules");
+                AppliedRules { revision, edit: None }
             }
-            EditOutcome::Accepted(revision) => println!("accepted as revision {revision}"),
-        }
-        let (EditOutcome::Unchanged(revision) | EditOutcome::Accepted(revision)) = outcome;
+            EditOutcome::Accepted(revision) => {
+                println!("accepted as revision {revision}");
+                AppliedRules { revision, edit: Some(edit.id) }
+            }
+        };
         match command.wait {
             Some(timeout_secs) => {
-                wait_until_in_force(&store, command.status_port, revision, timeout_secs).await
+                wait_until_in_force(&store, command.status_port, target, timeout_secs).await
             }
             None => Ok(0),
         }
@@ -87,6 +91,36 @@
     edited_rules: RuleSet,
     base_rules: Option<RuleSet>,
     allow_last_data_centre: bool,
+    status_port: u16,
+}
+
+/// `AppliedRules` are rules that are to be in force on all hosts.
+#[derive(Debug, Clone, Copy)]
+struct AppliedRules {
+    revision: u64,
+    /// The edit that led to this revision, if it is the operator's own.
+    edit: Option<u64>,
+}
+
+impl AppliedRules {
+    /// Returns whether a host routes by these rules, or by rules that follow them.
+    ///
+    /// The revision alone does not tell: if the store has lost rules that hosts have in force, they
+    /// give the edit a later revision.
+    fn are_in_force_on(&self, status: &ListedHostStatus) -> bool {
+        let recent_edits = status.answer.as_ref().and_then(|page| page.recent_edits.as_ref());
+        match (self.edit, recent_edits) {
+            (Some(edit), Some(recent_edits)) => recent_edits.contains(&edit),
+            _ => status.rules_revision.is_some_and(|in_force| in_force >= self.revision),
+        }
+    }
+}
+
+/// Returns the highest revision in force on a host if the store holds only an earlier one, because
+/// it has come back from an older copy.
+fn lost_revision(stored_revision: u64, statuses: &[ListedHostStatus]) -> Option<u64> {
+    let highest = statuses.iter().filter_map(|status| status.rules_revision).max();
+    highest.filter(|in_force| *in_force > stored_revision)
 }
 
 /// `EditOutcome` is the result of a successful edit, with the revision that holds it.
@@ -100,6 +134,7 @@
 /// concurrent edit.
 async fn submit_edit(store: &StoreClient, edit: &EditRequest) -> Result<EditOutcome> {
     let mut diff_printed = false;
+    let mut lost = None;
     for _ in 0..MAX_ATTEMPTS {
         let stored = match read_stored_rules(store).await {
             Ok(stored) => stored,
@@ -114,6 +149,13 @@
         if let Some(revision) = find_edit_revision(&stored, edit.id) {
             return Ok(EditOutcome::Accepted(revision));
         }
+        if let Some(revision) = find_lost_revision(store, edit, stored.revision()).await {
+            // The hosts write lost rules back; an edit of older rules would undo them.
+            lost = Some(LostRules { stored_revision: stored.revision(), revision });
+            tokio::time::sleep(RETRY_DELAY).await;
+            continue;
+        }
+        lost = None;
         let new_rules = merge_edit(&stored, edit)?;
         let difference = diff_rules(&stored.rule_set()?, &new_rules);
         if difference.changes.is_empty() {
@@ -142,11 +184,36 @@
             }
         }
     }
+    if let Some(LostRules { stored_revision, revision }) = lost {
+        return Err(CommandError::failed(format!(
+            "the store holds revision {stored_revision}, but revision {revision} is in force: it \
+             has come back from an older copy; apply the edit when the hosts have written revision \
+             {revision} back"
+        )));
+    }
     Err(CommandError::failed(
         "the store did not confirm the edit; check 'mustardgrade history' before applying it again",
     ))
 }
 
+/// `LostRules` are rules in force that the store does not hold any more.
+#[derive(Debug, Clone, Copy)]
+struct LostRules {
+    stored_revision: u64,
+    revision: u64,
+}
+
+/// Asks the hosts for a revision in force that the store has lost; hosts that do not answer do not
+/// hold an edit up.
+async fn find_lost_revision(
+    store: &StoreClient,
+    edit: &EditRequest,
+    stored_revision: u64,
+) -> Option<u64> {
+    let statuses = fetch_statuses(store, edit.status_port).await.unwrap_or_default();
+    lost_revision(stored_revision, &statuses)
+}
+
 /// Returns the revision that an edit created, if the stored document still lists the edit.
 fn find_edit_revision(stored: &StoredRules, edit_id: u64) -> Option<u64> {
     let document = stored.document.as_ref()?;
@@ -181,11 +248,11 @@
     Ok(new_rules)
 }
 
-/// Waits until a revision, or a later one, is in force on all listed hosts.
+/// Waits until rules, or later ones, are in force on all listed hosts.
 async fn wait_until_in_force(
     store: &StoreClient,
     status_port: u16,
-    revision: u64,
+    target: AppliedRules,
     timeout_secs: u64,
 ) -> Result<u8> {
     let deadline = tokio::time::Instant::now() + Duration::from_secs(timeout_secs);
@@ -193,7 +260,7 @@
         let statuses = fetch_statuses(store, status_port).await?;
         let lagging_hosts: Vec<String> = statuses
             .iter()
-            .filter(|status| status.rules_revision.is_none_or(|in_force| in_force < revision))
+            .filter(|status| !target.are_in_force_on(status))
             .map(|status| status.address.to_string())
             .collect();
         if lagging_hosts.is_empty() {
@@ -201,6 +268,7 @@
             return Ok(0);
         }
         if tokio::time::Instant::now() > deadline {
+            let revision = target.revision;
             let message = format!(
                 "revision {revision} is not in force after {timeout_secs} s on {}",
                 lagging_hosts.join(", ")
@@ -210,3 +278,6 @@
         tokio::time::sleep(POLL_INTERVAL).await;
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/mustardgrade-cli/src/commands/status.rs
+++ b/crates/mustardgrade-cli/src/commands/status.rs
@@ -42,6 +42,8 @@
     pub state: Option<String>,
     /// Rules revision in force.
     pub rules_revision: Option<u64>,
+    /// Identifiers of the edits that led to this revision, newest first.
+    pub recent_edits: Option<Vec<u64>>,
     /// Placement generation in force.
     pub generation: Option<u64>,
     /// Number of buckets that are announced, collecting or settling.
@@ -72,15 +74,27 @@
     status_port: u16,
 ) -> Result<Vec<ListedHostStatus>> {
     let listed_hosts = store.list_hosts().await.map_err(CommandError::failed)?;
+    let fetches = listed_hosts.into_iter().map(|host| {
+        let store = store.clone();
+        tokio::spawn(async move { fetch_status(&store, host.address, status_port).await })
+    });
     let mut statuses = Vec::new();
-    for host in listed_hosts {
-        let page = store.fetch_json::<StatusPage>(host.address, status_port, "status").await.ok();
-        let rules_revision = page.as_ref().and_then(|page| page.rules_revision);
-        statuses.push(ListedHostStatus { address: host.address, rules_revision, answer: page });
+    for fetch in fetches.collect::<Vec<_>>() {
+        statuses.push(fetch.await.map_err(CommandError::failed)?);
     }
     Ok(statuses)
 }
 
+async fn fetch_status(
+    store: &StoreClient,
+    address: Ipv4Addr,
+    status_port: u16,
+) -> ListedHostStatus {
+    let page = store.fetch_json::<StatusPage>(address, status_port, "status").await.ok();
+    let rules_revision = page.as_ref().and_then(|page| page.rules_revision);
+    ListedHostStatus { address, rules_revision, answer: page }
+}
+
 /// Prints the accepted revision and the statuses of all listed hosts.
 pub fn run_status(command: &StatusCommand) -> Result<u8> {
     let store = open_store(&command.store, command.token_file.as_deref())?;
--- a/crates/mustardgrade-cli/src/commands/status/tests.rs
+++ b/crates/mustardgrade-cli/src/commands/status/tests.rs
@@ -11,6 +11,7 @@
         data_centre: Some("tunis-lac".to_owned()),
         state: Some("serving".to_owned()),
         rules_revision: Some(6),
+        recent_edits: None,
         generation: Some(12),
         guarded_buckets: Some(293),
         live_hosts: Some(15),
--- a/crates/mustardgrade-node/src/control/actor.rs
+++ b/crates/mustardgrade-node/src/control/actor.rs
@@ -69,6 +69,8 @@
     pub state: String,
     /// Rules revision in force.
     pub rules_revision: u64,
+    /// Identifiers of the edits that led to this revision, newest first.
+    pub recent_edits: Vec<u64>,
     /// Placement generation in force.
     pub generation: u64,
     /// Number of buckets that are announced, collecting or settling.
@@ -196,12 +198,20 @@
             data_centre: self.resources.settings.data_centre.clone(),
             state: digest.state.to_string(),
             rules_revision: digest.rules_revision,
+            recent_edits: self.routed_edits(digest.rules_revision),
             generation: digest.generation,
             guarded_buckets: guarded_phases.into_iter().flat_map(bucket_counts).sum(),
             live_hosts: self.controller.members().live_members().count() + 1,
         }
     }
 
+    /// Returns the edits of the rules by which the traffic threads route; none while they still route
+    /// by earlier rules than the controller's.
+    fn routed_edits(&self, routed_revision: u64) -> Vec<u64> {
+        let rules = self.controller.rules().filter(|rules| rules.revision == routed_revision);
+        rules.map(|rules| rules.recent_edits.clone()).unwrap_or_default()
+    }
+
     fn log_state_change(&mut self) {
         let state = self.controller.state();
         if state != self.last_logged_state {
