A host that restarts with its clock set back is heard again

What callers would see on the product's own path: a host that restarts after its clock was set back takes part in nothing; its peers count it as dead and route its flows by another view than its own.

Cause: the number of a host's run is its wall clock at the start, and peers ignored digests of lower numbers for as long as the host is listed. Evidence: host_that_restarts_with_its_ clock_set_back_is_heard_once_its_former_run_is_silent failed before. A run is now superseded by any other once it is silent; while it is live, lower numbers are ignored as before.

--- a/crates/mustardgrade-core/src/membership/member.rs
+++ b/crates/mustardgrade-core/src/membership/member.rs
@@ -310,18 +310,14 @@
 
     /// Records a digest; returns whether it was accepted.
     ///
-    /// Digests of earlier incarnations, repeated digests, own digests and digests from data centres
-    /// that are out of service are ignored.
+    /// Repeated digests, own digests, digests from data centres that are out of service, and those
+    /// of earlier incarnations while the known one is live are ignored.
     pub fn record_digest(&mut self, digest: &HostDigest) -> bool {
         let host = digest.sender.host;
         if host == self.local_host {
             return false;
         }
-        let is_older = |known: &HostDigest| {
-            (known.sender.incarnation, known.sequence)
-                < (digest.sender.incarnation, digest.sequence)
-        };
-        if !self.members.get(&host).is_none_or(|known| is_older(&known.digest)) {
+        if !self.members.get(&host).is_none_or(|known| self.is_superseded(known, digest)) {
             return false;
         }
         if self.is_out_of_service(digest.data_centre) {
@@ -332,6 +328,16 @@
         true
     }
 
+    /// Returns whether a digest is newer than the last one of a host.
+    ///
+    /// Incarnations come from the host's clock, which may have been set back while it was down, so
+    /// that a host which is not live is superseded by any other incarnation.
+    fn is_superseded(&self, known: &KnownHost, digest: &HostDigest) -> bool {
+        let (known_run, run) = (known.digest.sender.incarnation, digest.sender.incarnation);
+        let is_newer = (known_run, known.digest.sequence) < (run, digest.sequence);
+        is_newer || (known_run != run && !self.is_live(known))
+    }
+
     /// Sets the addresses of hosts that a peer knows.
     ///
     /// With them, a host that starts while the platform is down finds its peers.
--- a/crates/mustardgrade-core/src/membership/tests.rs
+++ b/crates/mustardgrade-core/src/membership/tests.rs
@@ -200,3 +200,19 @@
     assert!(repairs(&mut controller, ControllerInput::RulesRead(Some(known))).is_empty());
     assert!(repairs(&mut controller, ControllerInput::PlacementRead(Some(placement))).is_empty());
 }
+
+#[test]
+fn host_that_restarts_with_its_clock_set_back_is_heard_once_its_former_run_is_silent() {
+    let options = MemberTableOptions::default();
+    let mut table = MemberTable::new(HostId(9), DATA_CENTRE, options);
+    table.tick(Duration::ZERO);
+    assert!(table.record_digest(&digest(1, 500, 40)));
+    assert!(!table.record_digest(&digest(1, 300, 1)), "the former run may still be alive");
+    let mut now = Duration::ZERO;
+    while now <= options.silence_timeout {
+        now += options.heartbeat_interval;
+        table.tick(now);
+    }
+    assert!(table.record_digest(&digest(1, 300, 2)));
+    assert_eq!(table.live_members().count(), 1);
+}
