Knowledge of a lost history prevails for as long as a departed upstream stays registered

A restored registration of an upstream that has left is removed by the store only after three of its report intervals (3.6 s with those of the deployments), later than the 2.5 s for which hosts kept it out of use: the last second of flows would have gone to nobody.

--- a/crates/mustardgrade-core/src/registry/table.rs
+++ b/crates/mustardgrade-core/src/registry/table.rs
@@ -15,9 +15,9 @@
 /// Time for which removed entries are kept as tombstones; flows live no longer than this.
 const TOMBSTONE_RETENTION: Duration = Duration::from_secs(75);
 
-/// Time for which knowledge from a lost history prevails over a restored store that contradicts it;
-/// meanwhile, the writers write again what the store has lost.
-const SETBACK_DEFERRAL: Duration = Duration::from_millis(2_500);
+/// Time for which knowledge from a lost history prevails over a restored store that contradicts it.
+/// Meanwhile, writers repeat what the store has lost, and registrations of departed upstreams expire.
+const SETBACK_DEFERRAL: Duration = Duration::from_millis(4_000);
 
 /// `RegistryKey` identifies an entry.
 #[derive(Debug, Display, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
