--- a/crates/mustardgrade-standin/src/caller/flows.rs
+++ b/crates/mustardgrade-standin/src/caller/flows.rs
@@ -14,6 +14,7 @@
 use tokio::sync::watch;
 
 use crate::feed::{GREETING_BYTES, encode_request_line, feed_byte};
+use crate::task_loop::{TaskEvent, TaskLoop};
 use crate::tcp::TcpEndpoint;
 
 /// Interval at which feeds are opened and checked, and the report is updated.
@@ -159,19 +160,13 @@
 }
 
 impl FlowCallerTask {
-    async fn run(mut self, mut stop_receiver: watch::Receiver<bool>) {
-        let mut poll_timer = tokio::time::interval(POLL_INTERVAL);
-        poll_timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    async fn run(mut self, stop_receiver: watch::Receiver<bool>) {
+        let mut task_loop = TaskLoop::new(POLL_INTERVAL, stop_receiver);
         let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
-        loop {
-            tokio::select! {
-                changed = stop_receiver.changed() => {
-                    if changed.is_err() {
-                        return;
-                    }
-                }
-                _ = self.socket.readable() => self.receive_datagrams(&mut buffer),
-                _ = poll_timer.tick() => {
+        while let Some(event) = task_loop.next_event(self.socket.readable()).await {
+            match event {
+                TaskEvent::SocketReadable => self.receive_datagrams(&mut buffer),
+                TaskEvent::TimerFired => {
                     self.open_feed_if_due();
                     self.check_feeds();
                     self.publish_report();
--- a/crates/mustardgrade-standin/src/caller/requests.rs
+++ b/crates/mustardgrade-standin/src/caller/requests.rs
@@ -14,6 +14,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
 
+use crate::task_loop::{TaskEvent, TaskLoop};
 use crate::upstream::{decode_uint_option, download_content, encode_uint_option};
 
 /// Interval at which a group checks whether a new request, a retransmission or a timeout is due.
@@ -152,20 +153,15 @@
 }
 
 impl RequestCallerTask {
-    async fn run(mut self, mut pause_receiver: watch::Receiver<bool>) {
-        let mut poll_timer = tokio::time::interval(POLL_INTERVAL);
-        poll_timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    async fn run(mut self, pause_receiver: watch::Receiver<bool>) {
+        let mut task_loop = TaskLoop::new(POLL_INTERVAL, pause_receiver);
         let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
-        loop {
-            tokio::select! {
-                changed = pause_receiver.changed() => {
-                    if changed.is_err() {
-                        return;
-                    }
-                }
-                _ = self.socket.readable() => self.receive_datagrams(&mut buffer),
-                _ = poll_timer.tick() => {
-                    if !*pause_receiver.borrow() {
+        while let Some(event) = task_loop.next_event(self.socket.readable()).await {
+            match event {
+                TaskEvent::SocketReadable => self.receive_datagrams(&mut buffer),
+                TaskEvent::TimerFired => {
+                    let is_paused = task_loop.control_value();
+                    if !is_paused {
                         self.start_request_if_due();
                     }
                     self.check_timeouts();
--- a/crates/mustardgrade-standin/src/lib.rs
+++ b/crates/mustardgrade-standin/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod platform;
 mod queue;
 pub mod scenario;
+mod task_loop;
 pub mod tcp;
 pub mod trial;
 pub mod upstream;
--- a/crates/mustardgrade-standin/src/upstream/task.rs
+++ b/crates/mustardgrade-standin/src/upstream/task.rs
@@ -13,6 +13,7 @@
 
 use super::feeds::FeedServer;
 use super::requests::{RequestCapacity, RequestServer};
+use crate::task_loop::{TaskEvent, TaskLoop};
 
 /// Interval at which the servers are polled when no datagram arrives; TCP timers are far longer.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
@@ -129,25 +130,28 @@
 }
 
 impl UpstreamTask {
-    async fn run(mut self, mut stop_receiver: watch::Receiver<bool>) {
-        let mut poll_timer = tokio::time::interval(POLL_INTERVAL);
-        poll_timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    async fn run(mut self, stop_receiver: watch::Receiver<bool>) {
+        let mut task_loop = TaskLoop::new(POLL_INTERVAL, stop_receiver);
         let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
-        loop {
-            tokio::select! {
-                changed = stop_receiver.changed() => {
-                    if changed.is_err() {
-                        return;
-                    }
+        while let Some(event) = task_loop.next_event(self.any_socket_readable()).await {
+            match event {
+                TaskEvent::SocketReadable => {
+                    self.receive_tunnelled(&mut buffer);
+                    self.receive_requests(&mut buffer);
                 }
-                _ = self.tunnel_socket.readable() => self.receive_tunnelled(&mut buffer),
-                _ = self.coap_socket.readable() => self.receive_requests(&mut buffer),
-                _ = poll_timer.tick() => self.update_report(),
+                TaskEvent::TimerFired => self.update_report(),
             }
             self.send_pending();
         }
     }
 
+    async fn any_socket_readable(&self) -> std::io::Result<()> {
+        tokio::select! {
+            result = self.tunnel_socket.readable() => result,
+            result = self.coap_socket.readable() => result,
+        }
+    }
+
     fn receive_tunnelled(&mut self, buffer: &mut [u8]) {
         for _ in 0..MAX_BATCH_DATAGRAMS {
             let Ok((length, _)) = self.tunnel_socket.try_recv_from(buffer) else { return };
