An upstream that only other hosts have seen fail is not probed by this one

What callers saw: after an upstream crashed, each host that learned of it from others sent one opening there at once, and further ones as its own probes; each cost its caller 200 ms.

Cause: the time from which a probe was due was the host's own first unanswered packet, which is zero where only peers have one.

Hosts that have seen the failure probe as before.

--- a/crates/mustardgrade-core/src/cookie/picker.rs
+++ b/crates/mustardgrade-core/src/cookie/picker.rs
@@ -86,6 +86,7 @@
     is_local: bool,
     is_cold: bool,
     is_suspected: bool,
+    /// Whether this host has seen the upstream fail and is due to probe it.
     is_probe_due: bool,
     /// Whether an opening has been pending for longer than in normal operation.
     is_slow: bool,
@@ -165,7 +166,8 @@
             is_local: view.is_local,
             is_cold: view.is_cold(self.now),
             is_suspected,
-            is_probe_due: is_suspected && tracker.is_probe_due(self.detection, self.now),
+            is_probe_due: is_suspected
+                && self.trackers[index].is_probe_due(self.detection, self.now),
             is_slow: tracker.has_slow_opening(self.detection, self.now),
         }
     }
--- a/crates/mustardgrade-core/src/cookie/tests/failure_detection.rs
+++ b/crates/mustardgrade-core/src/cookie/tests/failure_detection.rs
@@ -416,3 +416,35 @@
         1
     );
 }
+
+// The hosts that have seen the upstream fail probe it; a probe costs its caller a retransmission.
+#[test]
+fn upstream_that_only_peers_suspect_gets_no_openings_of_this_host_as_probes() {
+    let mut registry = TestRegistry::new();
+    registry.add_upstreams("desk", "a", 1..4);
+    let mut router = registry.router();
+    let mut openings_at_suspect = 0;
+    for caller in 0..400 {
+        let at_ms = 2_000 + u64::from(caller) * 10;
+        let entry = LoadEntry {
+            cookie: cookie_of(&upstream_registration("desk", "a", 1)),
+            in_flight: 0,
+            unanswered_flows: 4,
+            unanswered_age_ms: 500,
+            alive_age_ms: u16::MAX,
+        };
+        let entries = vec![entry];
+        let report =
+            LoadReport { saturated: false, complete: false, all_suspected: false, entries };
+        let mut peers = PeerLoads::default();
+        peers.add(&report, ms(at_ms));
+        router.install_peer_loads(Arc::new(peers));
+        router.process_timeouts(ms(at_ms));
+        let tag = routed_tag(&mut router, &syn_packet(flow_key(caller, DESK_ROUTE), 0), ms(at_ms));
+        match tag {
+            1 => openings_at_suspect += 1,
+            _ => answer_opening(&mut router, caller, tag, at_ms + 3),
+        }
+    }
+    assert_eq!(openings_at_suspect, 0);
+}
--- a/crates/mustardgrade-core/src/cookie/tracker.rs
+++ b/crates/mustardgrade-core/src/cookie/tracker.rs
@@ -195,9 +195,14 @@
         self.unanswered_flows.max(self.presumed_unanswered_flows) >= options.suspect_min_unanswered
     }
 
-    /// Returns whether a suspected upstream is due for a probe by a new flow.
+    /// Returns whether a suspected upstream is due for a probe by a new flow of this host.
+    ///
+    /// An upstream that only other hosts have seen fail is left to their probes.
     #[must_use]
     pub fn is_probe_due(&self, options: &FailureDetectionOptions, now: Duration) -> bool {
+        if self.unanswered_flows.max(self.presumed_unanswered_flows) == 0 {
+            return false;
+        }
         let interval =
             options.probe_interval * 2_u32.pow(self.probe_count.min(MAX_INTERVAL_DOUBLINGS));
         let since = match self.unanswered_flows {
