Hosts of a data centre share the probes of a failed upstream

What callers saw: each host that had seen an upstream fail sent it a caller's opening after 1, 2, 4 and 8 s.

Change: the interval between a host's probes is multiplied by the number of hosts in its data centre, 8 s at most as before; the first probe takes a pseudo-random slot. What one host observes reaches the others in load reports. A host that hears nobody probes within 8 s.

--- a/crates/mustardgrade-core/src/cookie/picker.rs
+++ b/crates/mustardgrade-core/src/cookie/picker.rs
@@ -167,7 +167,11 @@
             is_cold: view.is_cold(self.now),
             is_suspected,
             is_probe_due: is_suspected
-                && self.trackers[index].is_probe_due(self.detection, self.now),
+                && self.trackers[index].is_probe_due(
+                    self.detection,
+                    self.snapshot.local_hosts,
+                    self.now,
+                ),
             is_slow: tracker.has_slow_opening(self.detection, self.now),
         }
     }
--- a/crates/mustardgrade-core/src/cookie/tests/failure_detection.rs
+++ b/crates/mustardgrade-core/src/cookie/tests/failure_detection.rs
@@ -448,3 +448,31 @@
     }
     assert_eq!(openings_at_suspect, 0);
 }
+
+#[test]
+fn hosts_that_have_seen_an_upstream_fail_do_not_all_probe_it_each_second() {
+    const HOST_COUNT: usize = 7;
+    let mut registry = TestRegistry::new();
+    registry.context.local_hosts = HOST_COUNT;
+    registry.add_upstreams("desk", "a", 1..4);
+    let mut probes = 0;
+    for host in 0..HOST_COUNT as u64 {
+        let mut router = registry.router();
+        router.process_timeouts(ms(990));
+        let failed_at_ms = 1_000 + host * 13;
+        open_flows_at_upstream_1(&mut router, 2, failed_at_ms);
+        router.process_timeouts(ms(failed_at_ms + 90));
+        for step in 0..300_u32 {
+            let at_ms = failed_at_ms + 100 + u64::from(step) * 10;
+            router.process_timeouts(ms(at_ms));
+            let caller = 1_000 + step;
+            let packet = syn_packet(flow_key(caller, DESK_ROUTE), 0);
+            match routed_tag(&mut router, &packet, ms(at_ms)) {
+                1 => probes += 1,
+                tag => answer_opening(&mut router, caller, tag, at_ms + 3),
+            }
+        }
+    }
+    // Three seconds: about one probe a second of the whole data centre, not of each host.
+    assert!((1..=HOST_COUNT).contains(&probes), "{probes} probes of {HOST_COUNT} hosts in 3 s");
+}
--- a/crates/mustardgrade-core/src/cookie/tracker.rs
+++ b/crates/mustardgrade-core/src/cookie/tracker.rs
@@ -10,10 +10,11 @@
 
 use super::flow_cookie::FlowCookie;
 use super::load::PeerLoad;
+use crate::identity::rendezvous_score;
 
-/// Maximum number of doublings of the probe interval; with the default interval of 1 s, an upstream
-/// that recovers is probed within 8 s.
-const MAX_INTERVAL_DOUBLINGS: u32 = 3;
+/// Maximum multiple of the probe interval between two probes of one host; with the default interval
+/// of 1 s, each host probes an upstream that recovers within 8 s, even if it hears no other host.
+const MAX_INTERVAL_MULTIPLE: u32 = 8;
 
 /// `FailureDetectionOptions` are the thresholds and timeouts of passive failure detection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -197,21 +198,36 @@
 
     /// Returns whether a suspected upstream is due for a probe by a new flow of this host.
     ///
-    /// An upstream that only other hosts have seen fail is left to their probes.
+    /// `local_hosts` hosts of the data centre share the probes, since they report to each other what
+    /// they observe. An upstream that only other hosts have seen fail is left to their probes.
     #[must_use]
-    pub fn is_probe_due(&self, options: &FailureDetectionOptions, now: Duration) -> bool {
-        if self.unanswered_flows.max(self.presumed_unanswered_flows) == 0 {
-            return false;
-        }
-        let interval =
-            options.probe_interval * 2_u32.pow(self.probe_count.min(MAX_INTERVAL_DOUBLINGS));
-        let since = match self.unanswered_flows {
-            0 => self.presumed_since,
+    pub fn is_probe_due(
+        &self,
+        options: &FailureDetectionOptions,
+        local_hosts: usize,
+        now: Duration,
+    ) -> bool {
+        let since = match (self.unanswered_flows, self.presumed_unanswered_flows) {
+            (0, 0) => return false,
+            (0, _) => self.presumed_since,
             _ => self.unanswered_since,
         };
+        let hosts = u32::try_from(local_hosts).unwrap_or(u32::MAX).clamp(1, MAX_INTERVAL_MULTIPLE);
+        let multiple = match self.probe_count {
+            0 => self.first_probe_slot(since, hosts) + 1,
+            count => hosts * 2_u32.pow(count.min(MAX_INTERVAL_MULTIPLE.ilog2())),
+        };
+        let interval = options.probe_interval * multiple.min(MAX_INTERVAL_MULTIPLE);
         now.saturating_sub(self.last_probe.max(since)) >= interval
     }
 
+    /// Returns a pseudo-random number below `hosts`, which differs between the hosts because each
+    /// has seen the failure at another time.
+    fn first_probe_slot(&self, since: Duration, hosts: u32) -> u32 {
+        let since_nanos = since.as_nanos() as u64;
+        (rendezvous_score(u64::from(self.cookie.0), since_nanos) % u64::from(hosts)) as u32
+    }
+
     /// Returns the tracker combined with the aggregated load of the other hosts.
     ///
     /// Their reports are a moment old, so each of them is assumed to have added as many requests
