--- a/crates/mustardgrade-standin/src/fleet/tests/restores.rs
+++ b/crates/mustardgrade-standin/src/fleet/tests/restores.rs
@@ -3,8 +3,11 @@
 //! The deadlines are user requirements: a manifest is in force within 3 s of its acceptance, and an
 //! upstream that drains gets no new flows 3 s after it reported so, at every host that is connected.
 
+use std::time::Duration;
+
 use mustardgrade_core::registry::{RegisteredState, RegistryKey, RegistryValue};
 
+use super::super::store::StoreAvailability;
 use super::{FleetSimulation, all_hosts, secs};
 
 /// Time within which an accepted change has to be in force at all connected hosts.
@@ -42,7 +45,21 @@
         self.advance(secs(DOWNTIME_SECS));
     }
 
-    /// Returns whether the routers of all running hosts offer new flows to an upstream.
+    /// Makes the store reject the calls of all hosts of a data centre.
+    fn reject_store_calls_of(&mut self, data_centre: usize) {
+        let hosts = self.hosts.iter_mut().filter(|host| host.data_centre == data_centre);
+        hosts.for_each(|host| host.store_availability = StoreAvailability::Failing);
+    }
+
+    /// Asserts that no host offers new flows to an upstream for the next 6 s.
+    fn assert_never_offered(&mut self, tag: u64, seed: u64) {
+        for _ in 0..60 {
+            self.advance(secs(0.1));
+            assert!(!self.any_host_offers(tag), "seed {seed}: offered at {:?}", self.now);
+        }
+    }
+
+    /// Returns whether any running host offers new flows to an upstream.
     fn any_host_offers(&self, tag: u64) -> bool {
         all_hosts(self).into_iter().any(|host| {
             let snapshot = self.controller(host).map(|controller| controller.snapshot());
@@ -54,7 +71,7 @@
     }
 }
 
-fn assert_manifest_in_force(sim: &FleetSimulation, version: u64, since: std::time::Duration) {
+fn assert_manifest_in_force(sim: &FleetSimulation, version: u64, since: Duration) {
     let slowest = sim.manifest_delay(&all_hosts(sim), version, since);
     assert!(slowest <= secs(CHANGE_DEADLINE_SECS), "manifest {version} in force after {slowest:?}");
     assert!(!sim.any_manifest_regressed(), "a host reverted to an older manifest");
@@ -107,12 +124,8 @@
     for seed in 0..SEED_COUNT {
         let mut sim = FleetSimulation::with_changes_after_the_copy(seed);
         sim.partitions.extend([(0, 1), (0, 2)]);
-        let cut_off: Vec<usize> =
-            all_hosts(&sim).into_iter().filter(|host| sim.data_centre_of(*host) == 0).collect();
         sim.restore_before_manifest_2();
-        for host in &cut_off {
-            sim.hosts[*host].store_availability = super::super::store::StoreAvailability::Failing;
-        }
+        sim.reject_store_calls_of(0);
         sim.advance(secs(REPEAT_SECS));
         sim.publish_manifest(4);
         sim.register_test_upstream(DRAINING_TAG, RegisteredState::Draining);
@@ -130,11 +143,7 @@
     for seed in 0..SEED_COUNT {
         let mut sim = FleetSimulation::with_changes_after_the_copy(seed);
         sim.restore_before_manifest_2();
-        let without_store: Vec<usize> =
-            all_hosts(&sim).into_iter().filter(|host| sim.data_centre_of(*host) == 0).collect();
-        for host in without_store {
-            sim.hosts[host].store_availability = super::super::store::StoreAvailability::Failing;
-        }
+        sim.reject_store_calls_of(0);
         sim.advance(secs(REPEAT_SECS));
         let published_at = sim.now;
         sim.publish_manifest(4);
@@ -165,10 +174,7 @@
         sim.register_test_upstream(DRAINING_TAG, RegisteredState::Draining);
         sim.advance(secs(1.0));
         sim.restore_store(secs(2.0), secs(DOWNTIME_SECS));
-        for _ in 0..60 {
-            sim.advance(secs(0.1));
-            assert!(!sim.any_host_offers(DRAINING_TAG), "seed {seed}");
-        }
+        sim.assert_never_offered(DRAINING_TAG, seed);
     }
 }
 
@@ -182,10 +188,7 @@
         sim.write_entry(key, RegistryValue::Removed { possibly_spurious: false });
         sim.advance(secs(1.0));
         sim.restore_store(secs(4.0), secs(DOWNTIME_SECS));
-        for _ in 0..60 {
-            sim.advance(secs(0.1));
-            assert!(!sim.any_host_offers(DRAINING_TAG), "seed {seed}");
-        }
+        sim.assert_never_offered(DRAINING_TAG, seed);
     }
 }
 
@@ -198,10 +201,7 @@
         sim.advance(secs(1.0));
         // All test upstreams are in data centre 0.
         sim.restore_store(secs(2.0), secs(DOWNTIME_SECS));
-        for _ in 0..60 {
-            sim.advance(secs(0.1));
-            assert!(!sim.any_host_offers(1), "seed {seed}");
-        }
+        sim.assert_never_offered(1, seed);
     }
 }
 
