--- a/crates/mustardgrade-standin/src/fleet/actions.rs
+++ b/crates/mustardgrade-standin/src/fleet/actions.rs
@@ -260,7 +260,7 @@
     }
 
     /// Disconnects a data centre from the others and from the store.
-    fn isolate_data_centre(&mut self, name: &str, duration: Duration) {
+    pub(super) fn isolate_data_centre(&mut self, name: &str, duration: Duration) {
         let Some(data_centre) = self.data_centre_index(name) else {
             self.measurements.unknown_names += 1;
             return;
@@ -268,6 +268,7 @@
         for other in (0..self.scenario.data_centres.len()).filter(|other| *other != data_centre) {
             self.partitions.insert((data_centre, other));
         }
+        self.isolated_data_centres.insert(data_centre);
         let fault_end = self.now + duration;
         for host in 0..self.hosts.len() {
             if self.hosts[host].data_centre == data_centre {
@@ -284,8 +285,9 @@
     /// Reconnects a data centre to the others and to the store.
     pub(super) fn heal_partition(&mut self, data_centre: usize) {
         self.partitions.retain(|(first, second)| *first != data_centre && *second != data_centre);
+        self.isolated_data_centres.remove(&data_centre);
         for host in self.hosts.iter_mut().filter(|host| host.data_centre == data_centre) {
-            host.store_availability = StoreAvailability::Available;
+            host.store_availability = self.store.availability;
         }
     }
 
@@ -298,19 +300,27 @@
         if fault == StoreFault::Slow {
             self.store.response_time = SLOW_RESPONSE_TIME;
         }
+        self.set_store_availability(availability);
         let fault_end = self.now + duration;
         for host in 0..self.hosts.len() {
-            self.hosts[host].store_availability = availability;
             self.exempt_host(host, fault_end);
         }
         self.schedule_after(duration, FleetEvent::StoreFaultEnd);
     }
 
+    /// Sets how the store responds to all hosts that are not cut off from it.
+    fn set_store_availability(&mut self, availability: StoreAvailability) {
+        self.store.availability = availability;
+        for host in &mut self.hosts {
+            if !self.isolated_data_centres.contains(&host.data_centre) {
+                host.store_availability = availability;
+            }
+        }
+    }
+
     /// Ends all faults of the store.
     pub(super) fn end_store_faults(&mut self) {
         self.store.response_time = super::store::NORMAL_RESPONSE_TIME;
-        for host in &mut self.hosts {
-            host.store_availability = StoreAvailability::Available;
-        }
+        self.set_store_availability(StoreAvailability::Available);
     }
 }
--- a/crates/mustardgrade-standin/src/fleet/mod.rs
+++ b/crates/mustardgrade-standin/src/fleet/mod.rs
@@ -54,6 +54,8 @@
     callers: Vec<SimulatedCaller>,
     /// Pairs of data centres without a connection; a pair counts in both directions.
     partitions: HashSet<(usize, usize)>,
+    /// Data centres that are cut off from the others and from the store.
+    isolated_data_centres: HashSet<usize>,
     /// Probability that a datagram between hosts is lost, 0 to 1.
     datagram_loss: f64,
     measurements: FleetMeasurements,
@@ -80,6 +82,7 @@
             upstreams: Vec::new(),
             callers: Vec::new(),
             partitions: HashSet::new(),
+            isolated_data_centres: HashSet::new(),
             measurements: FleetMeasurements::default(),
         }
     }
--- a/crates/mustardgrade-standin/src/fleet/store.rs
+++ b/crates/mustardgrade-standin/src/fleet/store.rs
@@ -55,6 +55,8 @@
     restored_writes: usize,
     position: StorePosition,
     pending_watches: Vec<PendingWatch>,
+    /// Way in which the store responds to hosts that are not cut off from it.
+    pub(super) availability: StoreAvailability,
     /// Time from a call, or from the change that ends a watch, to the result.
     pub(super) response_time: Duration,
     /// Oldest revision after which a watch can start; older history counts as compacted.
@@ -72,6 +74,7 @@
             restored_writes: 0,
             position: StorePosition { epoch: 1, revision: FIRST_REVISION },
             pending_watches: Vec::new(),
+            availability: StoreAvailability::Available,
             response_time: NORMAL_RESPONSE_TIME,
             oldest_watch_revision: 0,
             call_count: 0,
--- a/crates/mustardgrade-standin/src/fleet/tests/outages.rs
+++ b/crates/mustardgrade-standin/src/fleet/tests/outages.rs
@@ -7,6 +7,7 @@
 
 use super::super::store::StoreAvailability;
 use super::{FleetSimulation, all_hosts, secs};
+use crate::scenario::StoreFault;
 
 /// Time within which a manifest has to be in force at all connected hosts.
 const MANIFEST_DEADLINE_SECS: f64 = 3.0;
@@ -224,3 +225,21 @@
         assert!(status.is_some_and(|status| status.live_hosts >= 12), "host {host}: {status:?}");
     }
 }
+
+#[test]
+fn data_centre_that_is_cut_off_stays_so_when_a_store_outage_ends() {
+    let mut sim = FleetSimulation::in_steady_state(13, 10);
+    sim.isolate_data_centre("0", secs(8.0));
+    sim.inject_store_fault(StoreFault::Down, secs(2.0));
+    sim.advance(secs(3.0));
+    let availability_of = |sim: &FleetSimulation, data_centre: usize| {
+        let host = all_hosts(sim).into_iter().find(|host| sim.data_centre_of(*host) == data_centre);
+        host.map(|host| sim.hosts[host].store_availability)
+    };
+    assert_eq!(availability_of(&sim, 0), Some(StoreAvailability::Unresponsive));
+    assert_eq!(availability_of(&sim, 1), Some(StoreAvailability::Available));
+    sim.inject_store_fault(StoreFault::Down, secs(9.0));
+    sim.advance(secs(6.0));
+    // The partition has healed, but the store is still down.
+    assert_eq!(availability_of(&sim, 0), Some(StoreAvailability::Failing));
+}
