--- a/crates/mustardgrade-cli/src/commands/apply.rs
+++ b/crates/mustardgrade-cli/src/commands/apply.rs
@@ -117,7 +117,7 @@
 }
 
 /// Returns the highest revision in force on a host if the store holds only an earlier one, because
-/// it has come back from an older copy.
+/// it was restored from an older copy.
 fn lost_revision(stored_revision: u64, statuses: &[ListedHostStatus]) -> Option<u64> {
     let highest = statuses.iter().filter_map(|status| status.rules_revision).max();
     highest.filter(|in_force| *in_force > stored_revision)
@@ -149,13 +149,12 @@
         if let Some(revision) = find_edit_revision(&stored, edit.id) {
             return Ok(EditOutcome::Accepted(revision));
         }
-        if let Some(revision) = find_lost_revision(store, edit, stored.revision()).await {
+        lost = find_lost_rules(store, edit, stored.revision()).await;
+        if lost.is_some() {
             // The hosts write lost rules back; an edit of older rules would undo them.
-            lost = Some(LostRules { stored_revision: stored.revision(), revision });
             tokio::time::sleep(RETRY_DELAY).await;
             continue;
         }
-        lost = None;
         let new_rules = merge_edit(&stored, edit)?;
         let difference = diff_rules(&stored.rule_set()?, &new_rules);
         if difference.changes.is_empty() {
@@ -166,34 +165,36 @@
             diff_printed = true;
         }
         let document = RulesDocument::next(stored.document.as_ref(), edit.id, &new_rules);
-        let write_result =
-            store.write(RULES_KEY, &encode_rules(&document), stored.modify_index).await;
-        match write_result {
-            Ok(true) => return Ok(EditOutcome::Accepted(document.revision)),
-            // A concurrent edit was accepted first, or an earlier write of this edit took effect
-            // but its answer was lost; the next read tells which.
-            Ok(false) => {}
-            // The edit may have taken effect; the next read tells.
-            Err(
-                StoreError::Unreachable(_) | StoreError::InvalidReply(_) | StoreError::Status(_),
-            ) => {
-                tokio::time::sleep(RETRY_DELAY).await;
-            }
-            Err(error @ StoreError::InvalidValue { .. }) => {
-                return Err(CommandError::failed(error));
-            }
+        if write_document(store, &document, stored.modify_index).await? {
+            return Ok(EditOutcome::Accepted(document.revision));
         }
     }
-    if let Some(LostRules { stored_revision, revision }) = lost {
-        return Err(CommandError::failed(format!(
-            "the store holds revision {stored_revision}, but revision {revision} is in force: it \
-             has come back from an older copy; apply the edit when the hosts have written revision \
-             {revision} back"
-        )));
+    Err(match lost {
+        Some(lost) => CommandError::failed(lost),
+        None => CommandError::failed(
+            "the store did not confirm the edit; check 'mustardgrade history' before applying it \
+             again",
+        ),
+    })
+}
+
+/// Writes a document over the one last changed at `expected_index`; returns whether the store has
+/// confirmed that. If it has not, the next read tells whether the edit was accepted.
+async fn write_document(
+    store: &StoreClient,
+    document: &RulesDocument,
+    expected_index: u64,
+) -> Result<bool> {
+    match store.write(RULES_KEY, &encode_rules(document), expected_index).await {
+        // If it is false, a concurrent edit was accepted first, or an earlier write of this edit took
+        // effect but its answer was lost.
+        Ok(written) => Ok(written),
+        Err(StoreError::Unreachable(_) | StoreError::InvalidReply(_) | StoreError::Status(_)) => {
+            tokio::time::sleep(RETRY_DELAY).await;
+            Ok(false)
+        }
+        Err(error @ StoreError::InvalidValue { .. }) => Err(CommandError::failed(error)),
     }
-    Err(CommandError::failed(
-        "the store did not confirm the edit; check 'mustardgrade history' before applying it again",
-    ))
 }
 
 /// `LostRules` are rules in force that the store does not hold any more.
@@ -203,15 +204,27 @@
     revision: u64,
 }
 
-/// Asks the hosts for a revision in force that the store has lost; hosts that do not answer do not
-/// hold an edit up.
-async fn find_lost_revision(
+impl std::fmt::Display for LostRules {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let Self { stored_revision, revision } = self;
+        write!(
+            formatter,
+            "the store holds revision {stored_revision}, but revision {revision} is in force: it \
+             was restored from an older copy; apply the edit when the hosts have written revision \
+             {revision} back"
+        )
+    }
+}
+
+/// Asks the hosts for rules in force that the store has lost; hosts that do not answer are ignored.
+async fn find_lost_rules(
     store: &StoreClient,
     edit: &EditRequest,
     stored_revision: u64,
-) -> Option<u64> {
+) -> Option<LostRules> {
     let statuses = fetch_statuses(store, edit.status_port).await.unwrap_or_default();
-    lost_revision(stored_revision, &statuses)
+    let revision = lost_revision(stored_revision, &statuses)?;
+    Some(LostRules { stored_revision, revision })
 }
 
 /// Returns the revision that an edit created, if the stored document still lists the edit.
