--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "${BASH_SOURCE[0]}")/.."
 mkdir -p target/review
-rustc --edition 2021 -C opt-level=2 -o target/review/standin review/standin/standin.rs
+rustc --edition 2021 -D warnings -C opt-level=2 -o target/review/standin review/standin/standin.rs
--- a/review/standin/case_full_endpoint.rs
+++ b/review/standin/case_full_endpoint.rs
@@ -1,13 +1,13 @@
 //! An endpoint holds as many flows as it can, and a second one is added beside it.
 
-use std::collections::HashMap;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crate::client::{Clients, Command, Seen};
-use crate::endpoint::{Endpoint, EndpointConfig, Observation, Observations};
+use crate::client::{Clients, Command};
+use crate::endpoint::{Endpoint, EndpointConfig, Observations};
 use crate::host::{loopback, Host, HostConfig};
+use crate::judge::broken_flows;
 use crate::record::Record;
 use crate::store::Store;
 use crate::Verdict;
@@ -25,9 +25,8 @@
 /// Time for which the case is played after the second endpoint has joined.
 const OBSERVED: Duration = Duration::from_secs(40);
 
-/// Bounds of the site: a host is in touch this long after its start, and flows count up to this age.
+/// Bound of the site: a host is in touch this long after its start.
 const STABILITY_WINDOW_MS: u64 = 6_000;
-const FLOW_TTL_MS: u64 = 60_000;
 
 pub fn play(record: &Record, trouble: bool) -> Result<Verdict, String> {
     let text = |error: std::io::Error| error.to_string();
@@ -107,40 +106,6 @@
     Ok(if broken.is_empty() { Verdict::Held } else { Verdict::Broken })
 }
 
-/// Returns the resets of the system's own on flows that were open at an endpoint.
-fn broken_flows(
-    observations: &Observations,
-    clients: &Clients,
-    in_touch_ms: u64,
-) -> Vec<(u64, u16, String)> {
-    let observations = observations.lock().unwrap();
-    let mut open: HashMap<u16, (u64, &str)> = HashMap::new();
-    let mut ended: HashMap<u16, u64> = HashMap::new();
-    for observation in observations.iter() {
-        match observation {
-            Observation::Open { at_ms, endpoint, port } => {
-                open.insert(*port, (*at_ms, endpoint));
-            }
-            Observation::Ended { at_ms, port } => {
-                ended.entry(*port).or_insert(*at_ms);
-            }
-            _ => {}
-        }
-    }
-    let seen = clients.seen.lock().unwrap();
-    let resets = seen.iter().filter_map(|event| match event {
-        Seen::SystemReset { at_ms, port, was_open: true } => {
-            let (opened_ms, endpoint) = open.get(port)?;
-            let ended_before = ended.get(port).is_some_and(|ended_ms| ended_ms < at_ms);
-            let counts = *at_ms >= in_touch_ms && at_ms - opened_ms.min(at_ms) <= FLOW_TTL_MS;
-            (opened_ms < at_ms && !ended_before && counts)
-                .then(|| (*at_ms, *port, (*endpoint).to_owned()))
-        }
-        _ => None,
-    });
-    resets.collect()
-}
-
 fn manifest(route: SocketAddrV4) -> String {
     format!(
         "{{\"version\":3,\"routes\":[{{\"name\":\"r-desk\",\"host\":\"{}\",\"prefix\":\"/{}/\",\
--- a/review/standin/case_stale_pages.rs
+++ b/review/standin/case_stale_pages.rs
@@ -5,9 +5,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::client::{Clients, Command, Seen};
-use crate::endpoint::{Endpoint, EndpointConfig, Observation, Observations};
+use crate::client::{Clients, Command};
+use crate::endpoint::{Endpoint, EndpointConfig, Observations};
 use crate::host::{loopback, Host, HostConfig};
+use crate::judge::late_openings;
 use crate::record::Record;
 use crate::store::Store;
 use crate::Verdict;
@@ -112,34 +113,6 @@
     Ok(if late.is_empty() { Verdict::Held } else { Verdict::Broken })
 }
 
-/// Returns when openings that were sent at `in_touch_ms` or later reached the endpoint after
-/// `late_ms`.
-pub fn late_openings(
-    observations: &Observations,
-    clients: &Clients,
-    id: &str,
-    late_ms: u64,
-    in_touch_ms: u64,
-) -> Vec<u64> {
-    let seen = clients.seen.lock().unwrap();
-    let sent_in_touch = |port: u16| {
-        seen.iter().any(|event| {
-            matches!(event, Seen::Opening { at_ms, port: sent } if *sent == port
-                && *at_ms >= in_touch_ms)
-        })
-    };
-    let observations = observations.lock().unwrap();
-    let late = observations.iter().filter_map(|observation| match observation {
-        Observation::Opening { at_ms, endpoint, port }
-            if endpoint == id && *at_ms > late_ms && sent_in_touch(*port) =>
-        {
-            Some(*at_ms)
-        }
-        _ => None,
-    });
-    late.collect()
-}
-
 fn manifest(route: SocketAddrV4) -> String {
     let service = |name: &str| {
         format!(
--- a/review/standin/client.rs
+++ b/review/standin/client.rs
@@ -37,9 +37,16 @@
 #[derive(Clone, Debug)]
 pub enum Seen {
     /// The first opening packet of a flow was sent.
-    Opening { at_ms: u64, port: u16 },
+    Opening {
+        at_ms: u64,
+        port: u16,
+    },
     /// A reset of the system's own arrived; on an open flow it is valid by its `seq`.
-    SystemReset { at_ms: u64, port: u16, was_open: bool },
+    SystemReset {
+        at_ms: u64,
+        port: u16,
+        was_open: bool,
+    },
     Answered,
     Failed,
 }
@@ -227,9 +234,9 @@
             self.feeds[index].due = now + self.feeds[index].period;
             let request = self.new_request();
             let route = self.feeds[index].route;
-            let port = self.feeds[index].port.filter(|port| {
-                self.flows.get(port).is_some_and(|flow| flow.open && !flow.closing)
-            });
+            let port = self.feeds[index]
+                .port
+                .filter(|port| self.flows.get(port).is_some_and(|flow| flow.open && !flow.closing));
             match port {
                 Some(port) if self.flows[&port].request.is_none() => {
                     self.send_request(port, request);
@@ -245,10 +252,8 @@
 
     fn send_request(&mut self, port: u16, request: Request) {
         let Some(flow) = self.flows.get_mut(&port) else { return };
-        let text = format!(
-            "GET /table HTTP/1.1\r\nHost: desk\r\nX-Request-Id: {}\r\n\r\n",
-            request.id
-        );
+        let text =
+            format!("GET /table HTTP/1.1\r\nHost: desk\r\nX-Request-Id: {}\r\n\r\n", request.id);
         let now = Instant::now();
         flow.request = Some(request);
         flow.data = Some((text.into_bytes(), flow.next_seq, now, 0));
--- a/review/standin/endpoint.rs
+++ b/review/standin/endpoint.rs
@@ -44,12 +44,8 @@
     Opening { at_ms: u64, endpoint: String, port: u16 },
     /// The endpoint had the end of the handshake.
     Open { at_ms: u64, endpoint: String, port: u16 },
-    /// The endpoint was full and left an opening packet unanswered.
-    Full { at_ms: u64, endpoint: String, port: u16 },
     /// The endpoint ended a flow: it reset it, or both ends closed it.
     Ended { at_ms: u64, port: u16 },
-    /// A packet arrived that its sender did not write so.
-    Forged { at_ms: u64, endpoint: String },
 }
 
 pub type Observations = Arc<Mutex<Vec<Observation>>>;
@@ -197,7 +193,9 @@
         let packet = match Packet::decode(rest) {
             Some(packet) if packet.is_genuine() => packet,
             _ => {
-                self.endpoint.observe(Observation::Forged { at_ms, endpoint: id });
+                self.endpoint
+                    .record
+                    .line(format!("endpoint {id} gets a packet that is not genuine"));
                 return;
             }
         };
@@ -248,7 +246,6 @@
         if !self.flows.contains_key(&key) {
             if self.flows.len() >= self.endpoint.config.max_flows {
                 self.endpoint.record.line(format!("endpoint {id} is full: no answer to {port}"));
-                self.endpoint.observe(Observation::Full { at_ms, endpoint: id, port });
                 return;
             }
             self.endpoint.record.line(format!("endpoint {id} takes the opening of flow {port}"));
@@ -321,11 +318,9 @@
             flags |= FIN;
         }
         let mut packet = answer_packet(key, flow, flags);
-        packet.data = format!(
-            "HTTP/1.1 {status}\r\n{mark}\r\nContent-Length: {}\r\n\r\n{body}",
-            body.len()
-        )
-        .into_bytes();
+        packet.data =
+            format!("HTTP/1.1 {status}\r\n{mark}\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+                .into_bytes();
         let length = packet.data.len() as u32 + u32::from(flags & FIN != 0);
         flow.next_seq = flow.next_seq.wrapping_add(length);
         flow.unacknowledged = Some((packet.clone(), Instant::now(), 0));
--- a/review/standin/host.rs
+++ b/review/standin/host.rs
@@ -165,7 +165,7 @@
         let Some(mut child) = self.child.take() else { return };
         self.record.line(format!("host {} gets SIGTERM", self.config.name));
         let pid = child.id().to_string();
-        let _ = Command::new("kill").args(["-TERM", &pid]).status();
+        let _ = Command::new("sh").args(["-c", &format!("kill -TERM {pid}")]).status();
         let deadline = Instant::now() + GRACE;
         while Instant::now() < deadline && matches!(child.try_wait(), Ok(None)) {
             std::thread::sleep(Duration::from_millis(20));
--- a/review/standin/record.rs
+++ b/review/standin/record.rs
@@ -32,9 +32,9 @@
     pub fn write(&self, path: &str) -> std::io::Result<()> {
         let mut lines = self.lines.lock().unwrap().clone();
         lines.sort_by_key(|(at_ms, _)| *at_ms);
-        let lines = lines.iter().map(|(at_ms, text)| {
-            format!("{:>7}.{:03} s  {text}\n", at_ms / 1_000, at_ms % 1_000)
-        });
+        let lines = lines
+            .iter()
+            .map(|(at_ms, text)| format!("{:>7}.{:03} s  {text}\n", at_ms / 1_000, at_ms % 1_000));
         std::fs::write(path, lines.collect::<String>())
     }
 }
--- a/review/standin/standin.rs
+++ b/review/standin/standin.rs
@@ -11,6 +11,7 @@
 mod client;
 mod endpoint;
 mod host;
+mod judge;
 mod packet;
 mod record;
 mod store;
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -130,7 +130,10 @@
                 "HTTP/1.1 {status}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
                 body.len()
             );
-            if stream.write_all(head.as_bytes()).and_then(|()| stream.write_all(body.as_bytes())).is_err()
+            if stream
+                .write_all(head.as_bytes())
+                .and_then(|()| stream.write_all(body.as_bytes()))
+                .is_err()
             {
                 return;
             }
