Changes from before a read of all entries are not taken as known

A departed upstream would have stayed in use at hosts that fetched changes from a host that had just started. Cause: a host that reads all entries learns neither what was removed before nor what came and went since the position that it knew. changes_since answered a peer from inside that span with the changes alone; the peer took itself for complete and kept the removed upstream for good. Fix: the table remembers the span that its last read skipped; a peer from inside it gets all entries and derives the removals from them. A peer that is not ahead of what the host knew before the read still gets the changes alone, so a dropped history costs no more than before.

--- a/crates/mustardgrade-core/src/registry/table.rs
+++ b/crates/mustardgrade-core/src/registry/table.rs
@@ -107,6 +107,22 @@
     due_at: Duration,
 }
 
+/// `ReadGap` is the part of the store's history that a read of all entries has skipped: entries that
+/// were both added and removed in it are not known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct ReadGap {
+    /// Position up to which every change was known before the read.
+    after: StorePosition,
+    /// Position as of which the entries were read.
+    through: StorePosition,
+}
+
+impl ReadGap {
+    fn contains(self, position: StorePosition) -> bool {
+        self.after < position && position < self.through
+    }
+}
+
 /// `RegistryTable` holds all entries; an entry never returns to an older position, nor the manifest
 /// to an older version.
 #[derive(Debug, Clone, Default)]
@@ -114,7 +130,9 @@
     entries: BTreeMap<RegistryKey, RegistryEntry>,
     deferred_changes: BTreeMap<RegistryKey, DeferredChange>,
     complete_position: StorePosition,
-    purged_position: StorePosition,
+    /// Position from which all removals are known, except those in the gap.
+    history_start: StorePosition,
+    read_gap: Option<ReadGap>,
 }
 
 impl RegistryTable {
@@ -250,6 +268,18 @@
         self.complete_position = self.complete_position.max(position);
     }
 
+    /// Records that all entries have been read as of `position`.
+    pub fn mark_read(&mut self, position: StorePosition) {
+        if position <= self.complete_position {
+            return;
+        }
+        let gap = ReadGap { after: self.complete_position, through: position };
+        if let Some(earlier) = self.read_gap.replace(gap) {
+            self.history_start = self.history_start.max(earlier.through);
+        }
+        self.complete_position = position;
+    }
+
     /// Returns removals of the entries that are missing from a complete read as of `position`.
     ///
     /// The manifest is never removed in this way: without it, no flow could be routed.
@@ -280,7 +310,8 @@
     }
 
     /// Returns the changes after `after`, or all entries if the changes since then are not known in
-    /// full: tombstones after it were purged, or it lies in another epoch.
+    /// full: tombstones after it were purged, a read of all entries has skipped some of them, or it
+    /// lies in another epoch.
     ///
     /// The flag is true if the result holds only the changes after `after`.
     #[must_use]
@@ -291,7 +322,8 @@
     ) -> (Vec<RegistryChange>, bool) {
         let incremental = !after.is_origin()
             && after.epoch == self.complete_position.epoch
-            && after >= self.purged_position;
+            && after >= self.history_start
+            && !self.read_gap.is_some_and(|gap| gap.contains(after));
         let after = if incremental { after } else { StorePosition::ORIGIN };
         let newer = self.entries.iter().filter(|(_, entry)| entry.position > after);
         let to_change = |(key, entry): (&RegistryKey, &RegistryEntry)| RegistryChange {
@@ -313,7 +345,7 @@
         };
         let purged_positions =
             self.entries.values().filter(|entry| is_expired(entry)).map(|entry| entry.position);
-        self.purged_position = purged_positions.max().unwrap_or_default().max(self.purged_position);
+        self.history_start = purged_positions.max().unwrap_or_default().max(self.history_start);
         self.entries.retain(|_, entry| !is_expired(entry));
     }
 }
--- a/crates/mustardgrade-core/src/watch/replication.rs
+++ b/crates/mustardgrade-core/src/watch/replication.rs
@@ -292,7 +292,10 @@
                 self.track_past_routes(previous_manifest.as_deref(), manifest);
             }
         }
-        self.registry.mark_complete(batch.through);
+        match batch.is_complete() {
+            true => self.registry.mark_read(batch.through),
+            false => self.registry.mark_complete(batch.through),
+        }
         if self.registry.manifest().is_some() && self.state == FleetMemberState::Starting {
             self.state = FleetMemberState::Ready;
             changed = true;
--- a/crates/mustardgrade-core/src/watch/tests/controller.rs
+++ b/crates/mustardgrade-core/src/watch/tests/controller.rs
@@ -113,6 +113,29 @@
     assert_eq!(controller.status(Duration::from_millis(25)).manifest_version, 3);
 }
 
+/// Guards against an upstream that stays in a peer's registry after its removal: a host that has
+/// read all entries does not know which ones were removed shortly before the read.
+#[test]
+fn changes_from_before_a_complete_read_are_not_taken_as_known() {
+    let mut controller = controller();
+    handle_at(&mut controller, WatchInput::Tick, 0);
+    let read = |revision| WatchInput::StoreResult(Ok(complete_batch(revision, Vec::new())));
+    handle_at(&mut controller, read(9), 5);
+    let after = |controller: &WatchController, revision| {
+        controller.changes_after(position(revision), Duration::from_millis(30)).after
+    };
+    let all_entries = StorePosition::ORIGIN;
+    assert_eq!([8, 9].map(|at| after(&controller, at)), [all_entries, position(9)]);
+    let compacted = WatchInput::StoreResult(Err(StoreFailure::HistoryUnavailable));
+    handle_at(&mut controller, compacted, 20);
+    handle_at(&mut controller, read(15), 25);
+    // Whatever a peer at 9 knows was known here too, so its removal was noticed.
+    assert_eq!(
+        [8, 9, 12, 15].map(|at| after(&controller, at)),
+        [all_entries, position(9), all_entries, position(15)],
+    );
+}
+
 #[test]
 fn unanswered_store_call_times_out_and_is_retried() {
     let mut controller = controller();
