What waited for a stalled host in its own socket is no evidence against upstreams

The thread cleared the pending openings of before the stall, not those that it forwarded after it. It also took the socket for empty when a receive call had lasted 50 us, which is true as well when it lost the processor. Ruled out: upstreams that were really silent (three 'recovered' within 0.25 s); a drain or removal. Fix: the thread asks the socket without waiting (MSG_DONTWAIT) before it waits; only an empty socket lets timeouts be processed. The router keeps when that last was. An opening routed more than 250 ms later may have outlived its caller's stay and is no evidence; a retransmission counts only if it was received 150 ms after its request was forwarded, whenever it is read; its copy that waited with it goes to the same upstream; an answer that waited shows life then, not now. Openings of before and after a stall leave the count of what is in flight when they time out, no longer with the flow. Counted as cookie_delayed_total. nix is added for recv with flags; unsafe code stays forbidden. The simulated host ran its timer before the packets that had waited for it; it now routes them first, as the thread does.

--- a/crates/mustardgrade-core/src/cookie/counters.rs
+++ b/crates/mustardgrade-core/src/cookie/counters.rs
@@ -59,6 +59,9 @@
     pub flows_opened: u64,
     /// Retransmitted openings that were sent to a different upstream than the original.
     pub openings_redirected: u64,
+    /// Unanswered openings that are no evidence against their upstream, since they were delayed at
+    /// this host itself.
+    pub openings_delayed: u64,
     /// Openings assigned to a cold upstream.
     pub flows_opened_cold: u64,
     /// Openings assigned to an upstream in another data centre.
--- a/crates/mustardgrade-core/src/cookie/observe.rs
+++ b/crates/mustardgrade-core/src/cookie/observe.rs
@@ -6,9 +6,9 @@
 use super::load::{LoadEntry, LoadReport, MAX_REPORT_ENTRIES};
 use super::observed_flows::{FlowStage, ObservedFlow};
 use super::packet::{AnswerStage, CookiePacket, FlowEvent};
-use super::router::{CookieRouter, FabricKind};
+use super::router::{CookieRouter, FabricKind, QueuedOpening};
 use super::tracker::UpstreamTracker;
-use crate::flow::{FlowKey, FlowPacket};
+use crate::flow::FlowPacket;
 
 /// Minimum age of a pending request from which a retransmission of its payload makes the flow count
 /// as unanswered.
@@ -65,8 +65,8 @@
                 self.trackers[index].open_flows += 1;
                 if self.options.fabric == FabricKind::Any && segment.is_pure_acknowledgement() {
                     // Callers send a pure acknowledgement as soon as they receive something, so the
-                    // upstream was alive just now.
-                    self.record_alive(index, now);
+                    // upstream was alive when it was sent.
+                    self.record_alive(index, self.latest_arrival(now));
                 }
                 flow
             }
@@ -85,11 +85,12 @@
         if is_answered {
             flow.last_acknowledgement = segment.acknowledgement;
             flow.is_counted_unanswered = false;
-            let mut alive_at = now;
+            let answered_at = flow.request_sent_at.unwrap_or(flow.opened_at);
+            let mut alive_at = self.latest_arrival(now).max(answered_at);
             if let Some(sent_at) = flow.request_sent_at.take() {
                 if segment.payload_length > 0 {
                     // The answer may have arrived long before this request, which acknowledges it.
-                    alive_at = now.min(sent_at + ASSUMED_ANSWER_DELAY);
+                    alive_at = alive_at.min(sent_at + ASSUMED_ANSWER_DELAY);
                 }
                 self.push_answered(segment, AnswerStage::Request, sent_at, now);
                 let counted_in_flight = u32::from(std::mem::take(&mut flow.is_counted_in_flight));
@@ -128,7 +129,9 @@
             return;
         }
         let Some(sent_at) = flow.request_sent_at else { return };
-        if !flow.is_counted_unanswered && now.saturating_sub(sent_at) >= MIN_RETRANSMISSION_AGE {
+        // The retransmission may have waited at this host together with the request.
+        let min_age = self.drained_at.saturating_sub(sent_at);
+        if !flow.is_counted_unanswered && min_age >= MIN_RETRANSMISSION_AGE {
             flow.is_counted_unanswered = true;
             self.record_unanswered(index, sent_at, now);
         }
@@ -145,6 +148,12 @@
         self.events.push(FlowEvent::Answered { key: segment.key, stage, latency });
     }
 
+    /// Returns when a packet that is routed now was received at the latest, as far as it matters
+    /// here; the earliest possible time if the packet may have been delayed at this host.
+    fn latest_arrival(&self, now: Duration) -> Duration {
+        if self.is_delayed(now) { self.drained_at } else { now }
+    }
+
     pub(super) fn record_alive(&mut self, index: usize, alive_at: Duration) {
         let tracker = &mut self.trackers[index];
         let was_suspected = tracker.is_suspected(&self.options.failure_detection);
@@ -166,24 +175,21 @@
         }
     }
 
-    pub(super) fn record_unanswered_opening(
-        &mut self,
-        key: &FlowKey,
-        sent_at: Duration,
-        now: Duration,
-    ) {
-        let Some(flow) = self.flows.get_mut(key) else { return };
-        if flow.stage != FlowStage::Opening || flow.opened_at != sent_at {
+    /// Processes the timeout of an opening; without a follow-up packet it counts as unanswered.
+    pub(super) fn time_out_opening(&mut self, opening: &QueuedOpening, now: Duration) {
+        let Some(flow) = self.flows.get_mut(&opening.key) else { return };
+        if flow.stage != FlowStage::Opening || flow.opened_at != opening.sent_at {
             return;
         }
         let counted_in_flight = std::mem::take(&mut flow.is_counted_in_flight);
-        if let Some(index) = self.snapshot.upstream_index(flow.cookie) {
-            // The opening no longer counts as in flight, since its caller may have given up.
-            let pending_openings = &mut self.trackers[index].pending_openings;
-            *pending_openings = pending_openings.saturating_sub(u32::from(counted_in_flight));
-            if self.options.fabric == FabricKind::Hash {
-                self.record_unanswered(index, sent_at, now);
-            }
+        let Some(index) = self.snapshot.upstream_index(flow.cookie) else { return };
+        // The opening no longer counts as in flight, since its caller may have given up.
+        let pending_openings = &mut self.trackers[index].pending_openings;
+        *pending_openings = pending_openings.saturating_sub(u32::from(counted_in_flight));
+        if opening.is_delayed {
+            self.counters.openings_delayed += 1;
+        } else if self.options.fabric == FabricKind::Hash {
+            self.record_unanswered(index, opening.sent_at, now);
         }
     }
 
--- a/crates/mustardgrade-core/src/cookie/router.rs
+++ b/crates/mustardgrade-core/src/cookie/router.rs
@@ -23,8 +23,9 @@
 /// Interval at which idle flows are removed from the flow table.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Pause of the thread after which pending openings are not counted as unanswered.
-const STALL_THRESHOLD: Duration = Duration::from_millis(250);
+/// Time for which a packet may have waited at this host before its caller may have turned to another
+/// host. What such a packet shows of an upstream is out of date.
+const MAX_PACKET_DELAY: Duration = Duration::from_millis(250);
 
 /// Idle timeout of flows if the manifest does not state one.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
@@ -65,6 +66,16 @@
     }
 }
 
+/// `QueuedOpening` is a forwarded opening whose timeout has not been processed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct QueuedOpening {
+    pub(super) key: FlowKey,
+    pub(super) sent_at: Duration,
+    /// Whether the opening was delayed at this host, so that its caller may have turned to another
+    /// one.
+    pub(super) is_delayed: bool,
+}
+
 /// `CookieRouter` decides for each packet of a caller whether to forward, reset or drop it.
 #[derive(Debug)]
 pub struct CookieRouter {
@@ -75,11 +86,13 @@
     /// Load that the other hosts report, for each upstream of the snapshot.
     pub(super) peer_loads: Vec<PeerLoad>,
     pub(super) flows: ObservedFlowTable,
-    pub(super) opening_queue: VecDeque<(Duration, FlowKey)>,
+    pub(super) opening_queue: VecDeque<QueuedOpening>,
     pub(super) request_queue: VecDeque<(Duration, FlowKey)>,
     pub(super) counters: CookieCounters,
     pub(super) events: Vec<FlowEvent>,
-    pub(super) last_timeout_run: Duration,
+    /// When all packets received so far were last known to be routed. A packet routed since then
+    /// was received after this time.
+    pub(super) drained_at: Duration,
     pub(super) last_expiry: Duration,
     pub(super) utilisation: f64,
     pub(super) load_estimator: LoadEstimator,
@@ -104,7 +117,7 @@
             request_queue: VecDeque::new(),
             counters: CookieCounters::default(),
             events: Vec::new(),
-            last_timeout_run: Duration::ZERO,
+            drained_at: Duration::ZERO,
             last_expiry: Duration::ZERO,
             utilisation: 0.0,
             load_estimator: LoadEstimator::default(),
@@ -133,10 +146,10 @@
         &self.trackers
     }
 
-    /// Returns whether any forwarded opening is awaiting a follow-up packet or its timeout.
+    /// Returns whether any forwarded opening or request is awaiting an answer or its timeout.
     #[must_use]
-    pub fn has_pending_openings(&self) -> bool {
-        !self.opening_queue.is_empty()
+    pub fn awaits_answers(&self) -> bool {
+        !self.opening_queue.is_empty() || !self.request_queue.is_empty()
     }
 
     /// Appends the events since the last call to `events`.
@@ -187,19 +200,20 @@
     /// Must be called only after all received packets are routed, since packets that show that an
     /// upstream has answered may be among them.
     pub fn process_timeouts(&mut self, now: Duration) {
-        let is_stalled = now.saturating_sub(self.last_timeout_run) > STALL_THRESHOLD;
-        self.last_timeout_run = now;
-        if is_stalled {
-            // Packets may have been lost or delayed at this host itself.
-            self.opening_queue.clear();
+        if self.is_delayed(now) {
+            // The answers may have been lost or delayed at this host itself.
+            for opening in &mut self.opening_queue {
+                opening.is_delayed = true;
+            }
         }
+        self.drained_at = now;
         let timeout = self.options.failure_detection.opening_timeout;
-        while let Some((sent_at, key)) = self.opening_queue.front().copied() {
-            if now.saturating_sub(sent_at) < timeout {
+        while let Some(opening) = self.opening_queue.front().copied() {
+            if now.saturating_sub(opening.sent_at) < timeout {
                 break;
             }
             self.opening_queue.pop_front();
-            self.record_unanswered_opening(&key, sent_at, now);
+            self.time_out_opening(&opening, now);
         }
         self.expire_pending_requests(now);
         if now.saturating_sub(self.last_expiry) >= EXPIRY_INTERVAL {
@@ -208,6 +222,12 @@
         }
     }
 
+    /// Returns whether a packet that is routed now may have waited too long at this host to show
+    /// anything about its upstream.
+    pub(super) fn is_delayed(&self, now: Duration) -> bool {
+        now.saturating_sub(self.drained_at) > MAX_PACKET_DELAY
+    }
+
     fn record_verdict(&mut self, verdict: &CookieVerdict, packet: &CookiePacket) {
         match verdict {
             CookieVerdict::Forward { .. } => self.counters.packets_forwarded += 1,
@@ -312,7 +332,10 @@
         let view = &snapshot.upstreams[index];
         let tracker = &self.trackers[index];
         let is_alive = tracker.last_alive > flow.opened_at;
-        let keeps_upstream = flow.stage == FlowStage::Open || retransmission == 0 || is_alive;
+        // Both transmissions may have waited at this host together; the upstream had no time then.
+        let is_early = self.is_delayed(now) && self.drained_at < flow.opened_at;
+        let keeps_upstream =
+            flow.stage == FlowStage::Open || retransmission == 0 || is_alive || is_early;
         Some((index, keeps_upstream && view.accepts_flows(now)))
     }
 
@@ -333,7 +356,9 @@
         }
         if self.flows.insert(segment.key, ObservedFlow::opening(cookie, segment, now)) {
             self.trackers[index].record_opening(now);
-            self.opening_queue.push_back((now, segment.key));
+            let is_delayed = self.is_delayed(now);
+            let opening = QueuedOpening { key: segment.key, sent_at: now, is_delayed };
+            self.opening_queue.push_back(opening);
         }
         CookieVerdict::Forward { index, cookie }
     }
--- a/crates/mustardgrade-core/src/cookie/tests/mod.rs
+++ b/crates/mustardgrade-core/src/cookie/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of cookie-based routing.
 
 mod allocation;
+mod evidence;
 mod failure_detection;
 mod fixtures;
 mod misrouting;
--- a/crates/mustardgrade-node/src/cookie_host/traffic_thread.rs
+++ b/crates/mustardgrade-node/src/cookie_host/traffic_thread.rs
@@ -1,6 +1,7 @@
 //! Traffic thread of a host that routes flows by cookie.
 
 use std::net::UdpSocket;
+use std::os::fd::AsRawFd;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread::JoinHandle;
@@ -12,6 +13,8 @@
     CookieOptions, CookiePacket, CookieRouter, CookieSnapshot, CookieVerdict, FlowEvent,
     LoadReport, PeerLoads,
 };
+use nix::errno::Errno;
+use nix::sys::socket::{MsgFlags, recv};
 
 use super::adapters::{PacketCodec, UpstreamTarget};
 use super::answer_times::AnswerTimes;
@@ -22,15 +25,12 @@
 /// Size of the receive buffer; longer datagrams are truncated.
 const MAX_DATAGRAM_BYTES: usize = 2_048;
 
-/// Read timeout while openings are pending, so that their timeouts are processed in time.
+/// Read timeout while openings or requests await an answer, so that timeouts are processed in time.
 const PENDING_READ_TIMEOUT: Duration = Duration::from_millis(40);
 
-/// Read timeout while no opening is pending; also the maximum delay until a stop takes effect.
-const IDLE_READ_TIMEOUT: Duration = Duration::from_millis(500);
-
-/// Duration of a receive call above which the socket buffer is taken to have been empty, so that
-/// timeouts can be processed without overlooking answers in the buffer.
-const DRAINED_WAIT_THRESHOLD: Duration = Duration::from_micros(50);
+/// Read timeout otherwise; also the maximum delay until a stop takes effect. The router takes a
+/// longer time without a drained socket for a stall of the host.
+const IDLE_READ_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Minimum interval between load reports.
 const LOAD_REPORT_INTERVAL: Duration = Duration::from_millis(50);
@@ -111,25 +111,34 @@
     fn run(&mut self) {
         let mut buffer = [0_u8; MAX_DATAGRAM_BYTES];
         while !self.shared.stop_requested.load(Ordering::Relaxed) {
-            let wait_started_at = self.clock.now();
-            self.update_read_timeout();
-            let received = self.socket.recv_from(&mut buffer);
+            let received = self.receive(&mut buffer);
             let now = self.clock.now();
             self.install_updates();
-            if now.saturating_sub(wait_started_at) > DRAINED_WAIT_THRESHOLD {
-                self.router.process_timeouts(now);
-            }
             match received {
-                Ok((length, _)) => self.handle_datagram(&buffer[..length], now),
+                Ok(length) => self.handle_datagram(&buffer[..length], now),
                 Err(error) => self.count_receive_error(&error),
             }
             self.publish_results(now);
         }
     }
 
+    /// Receives the next datagram, and waits for it if there is none.
+    ///
+    /// Only then are timeouts processed: answers in the socket buffer must not be overlooked.
+    fn receive(&mut self, buffer: &mut [u8]) -> std::io::Result<usize> {
+        let checked_at = self.clock.now();
+        match recv(self.socket.as_raw_fd(), buffer, MsgFlags::MSG_DONTWAIT) {
+            Err(Errno::EAGAIN) => {}
+            received => return received.map_err(std::io::Error::from),
+        }
+        self.router.process_timeouts(checked_at);
+        self.update_read_timeout();
+        self.socket.recv(buffer)
+    }
+
     /// Selects the read timeout; the socket option is set only if the timeout changes.
     fn update_read_timeout(&mut self) {
-        let timeout = match self.router.has_pending_openings() {
+        let timeout = match self.router.awaits_answers() {
             true => PENDING_READ_TIMEOUT,
             false => IDLE_READ_TIMEOUT,
         };
--- a/crates/mustardgrade-node/src/metrics/registry.rs
+++ b/crates/mustardgrade-node/src/metrics/registry.rs
@@ -295,6 +295,11 @@
                 "Openings redirected to another upstream",
                 cookie.openings_redirected,
             ),
+            (
+                "cookie_delayed",
+                "Unanswered openings that the host itself had delayed",
+                cookie.openings_delayed,
+            ),
             (
                 "cookie_opened_cold",
                 "New flows assigned to a cold upstream",
--- a/crates/mustardgrade-standin/src/fleet/hosts.rs
+++ b/crates/mustardgrade-standin/src/fleet/hosts.rs
@@ -27,6 +27,9 @@
 /// Interval between ticks of a router.
 const ROUTER_TICK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time in which a resumed host routes the packets that have waited for it.
+const BACKLOG_DURATION: Duration = Duration::from_millis(1);
+
 /// One-way network delay between two machines.
 pub(super) const ONE_WAY_DELAY: Duration = Duration::from_millis(1);
 
@@ -181,7 +184,10 @@
         }
         let resumes_at = host_state.paused_until;
         if resumes_at > self.now {
-            self.event_queue.push(resumes_at, event);
+            // A router's timeouts are processed once no packet is waiting.
+            let is_router_tick = matches!(event, FleetEvent::RouterTick { .. });
+            let delay = if is_router_tick { BACKLOG_DURATION } else { Duration::ZERO };
+            self.event_queue.push(resumes_at + delay, event);
             return None;
         }
         Some(event)
