Load reports and confirmations that waited at a stalled host don't count as just made

It makes other hosts take an upstream for silent, or for alive, at the wrong time. Cause: the traffic thread writes ages into its report, the control thread sends it at its next tick, and the receiver counts the ages from the receipt. A freeze between two of these steps makes old evidence young by the length of the freeze. The same holds for the age of a confirmation in a digest that waited in the socket of a host that was frozen. Fix: the time since the building is added to the ages when a report is sent. A host whose tick is more than 500 ms late takes neither load reports nor confirmations until a tick has come in time. Tests: messages_that_waited_for_a_stalled_host_neither_confirm_nor_report_load failed before; ages_in_a_report_grow_until_it_is_sent tests a new function.

--- a/crates/mustardgrade-core/src/cookie/load.rs
+++ b/crates/mustardgrade-core/src/cookie/load.rs
@@ -51,6 +51,15 @@
         self.entries.iter().any(|entry| entry.unanswered_flows > 0)
     }
 
+    /// Adds `delay`, the time since the report was built, to all ages in it.
+    pub fn add_age(&mut self, delay: Duration) {
+        let delay_ms = u16::try_from(delay.as_millis()).unwrap_or(u16::MAX);
+        for entry in &mut self.entries {
+            entry.unanswered_age_ms = entry.unanswered_age_ms.saturating_add(delay_ms);
+            entry.alive_age_ms = entry.alive_age_ms.saturating_add(delay_ms);
+        }
+    }
+
     /// Returns a copy of the report with only the entries of the upstreams in `cookies`.
     #[must_use]
     pub fn restricted_to(&self, cookies: &HashSet<FlowCookie>) -> Self {
--- a/crates/mustardgrade-core/src/cookie/tests/evidence.rs
+++ b/crates/mustardgrade-core/src/cookie/tests/evidence.rs
@@ -4,7 +4,7 @@
     DESK_ROUTE, TestRegistry, cookie_of, established_packet, flow_key, ms, routed_tag, syn_packet,
     upstream_registration,
 };
-use crate::cookie::{CookiePacket, CookieRouter, FlowCookie};
+use crate::cookie::{CookiePacket, CookieRouter, FlowCookie, LoadEntry, LoadReport};
 
 fn cookie_of_upstream_1() -> FlowCookie {
     cookie_of(&upstream_registration("desk", "a", 1))
@@ -15,6 +15,18 @@
     established_packet(flow_key(caller, DESK_ROUTE), cookie_of_upstream_1(), 101, 1, 200)
 }
 
+/// Returns a report that lists upstream 1 only.
+fn report_of_1(unanswered_flows: u16, unanswered_age_ms: u16, alive_age_ms: u16) -> LoadReport {
+    let entry = LoadEntry {
+        cookie: cookie_of_upstream_1(),
+        in_flight: 0,
+        unanswered_flows,
+        unanswered_age_ms,
+        alive_age_ms,
+    };
+    LoadReport { entries: vec![entry], ..LoadReport::default() }
+}
+
 fn router_with_two_upstreams() -> CookieRouter {
     let mut registry = TestRegistry::new();
     registry.add_upstreams("desk", "a", 1..3);
@@ -92,3 +104,11 @@
     );
     assert_eq!(router.trackers()[0].last_alive, ms(1_010));
 }
+
+#[test]
+fn ages_in_a_report_grow_until_it_is_sent() {
+    let mut report = report_of_1(4, 100, u16::MAX - 5);
+    report.add_age(ms(250));
+    let entry = report.entries[0];
+    assert_eq!((entry.unanswered_age_ms, entry.alive_age_ms), (350, u16::MAX));
+}
--- a/crates/mustardgrade-core/src/watch/controller.rs
+++ b/crates/mustardgrade-core/src/watch/controller.rs
@@ -25,6 +25,10 @@
 /// stall are discarded.
 const STALL_THRESHOLD: Duration = Duration::from_millis(1_000);
 
+/// Time between two ticks above which messages may have waited at this host itself. What they say
+/// counts from their arrival, which is not known then.
+const MAX_MESSAGE_DELAY: Duration = Duration::from_millis(500);
+
 /// Delay after the start before the host count is reliable enough to divide fleet-wide rate limits.
 const HOST_COUNT_DELAY: Duration = Duration::from_secs(3);
 
@@ -52,6 +56,8 @@
     pub(super) rng: ChaCha8Rng,
     pub(super) started_at: Duration,
     pub(super) last_tick_at: Duration,
+    /// Whether the last tick was so late that messages from before it may still be waiting.
+    pub(super) last_tick_late: bool,
     pub(super) confirmed_at: Option<Duration>,
     pub(super) call_in_progress: Option<CallInProgress>,
     pub(super) next_call_at: Duration,
@@ -96,6 +102,7 @@
             rng,
             started_at: now,
             last_tick_at: now,
+            last_tick_late: false,
             confirmed_at: None,
             call_in_progress: None,
             next_call_at: now,
@@ -178,6 +185,7 @@
     fn handle_tick(&mut self, now: Duration, outputs: &mut Vec<WatchOutput>) {
         let elapsed = now.saturating_sub(self.last_tick_at);
         self.last_tick_at = now;
+        self.last_tick_late = elapsed > MAX_MESSAGE_DELAY;
         if elapsed > STALL_THRESHOLD {
             self.handle_stall(elapsed, outputs);
         }
@@ -200,6 +208,11 @@
         self.update_host_counts(now, outputs);
     }
 
+    /// Returns whether a message that is handled now may have waited at this host.
+    pub(super) fn is_behind(&self, now: Duration) -> bool {
+        self.last_tick_late || now.saturating_sub(self.last_tick_at) > MAX_MESSAGE_DELAY
+    }
+
     /// Discards the last confirmation after a stall of the host itself.
     fn handle_stall(&mut self, elapsed: Duration, outputs: &mut Vec<WatchOutput>) {
         self.confirmed_at = None;
@@ -217,7 +230,9 @@
         now: Duration,
         outputs: &mut Vec<WatchOutput>,
     ) {
-        if let FleetMessage::Load(from, report) = message {
+        if let FleetMessage::Load(from, report) = message
+            && !self.is_behind(now)
+        {
             self.peer_loads.record(*from, report.clone(), now);
             outputs.push(WatchOutput::InstallPeerLoads(self.peer_loads.total()));
         }
--- a/crates/mustardgrade-core/src/watch/replication.rs
+++ b/crates/mustardgrade-core/src/watch/replication.rs
@@ -37,6 +37,7 @@
             // A restored store holds an older manifest until the operators write theirs again.
             self.request_changes(sender, StorePosition::ORIGIN, now, outputs);
         } else if digest.position.epoch == known.epoch
+            && !self.is_behind(now)
             && let Some(age_ms) = digest.confirmation_age_ms
         {
             let confirmed_at = now.saturating_sub(Duration::from_millis(u64::from(age_ms)));
--- a/crates/mustardgrade-core/src/watch/tests/controller.rs
+++ b/crates/mustardgrade-core/src/watch/tests/controller.rs
@@ -6,11 +6,12 @@
 
 use proptest::prelude::*;
 
+use crate::cookie::LoadReport;
 use crate::identity::DataCentreId;
 use crate::registry::{Manifest, RegistryChange, RegistryKey, RegistryValue, StorePosition};
 use crate::watch::{
-    ChangeBatch, StoreCall, StoreFailure, WatchController, WatchInput, WatchOptions, WatchOutput,
-    WatchSchedule,
+    ChangeBatch, FleetDigest, FleetMemberState, FleetMemberSummary, FleetMessage, StoreCall,
+    StoreFailure, WatchController, WatchInput, WatchOptions, WatchOutput, WatchSchedule,
 };
 
 pub(super) fn controller() -> WatchController {
@@ -136,6 +137,58 @@
     );
 }
 
+fn digest_of_peer(confirmation_age_ms: u32) -> FleetDigest {
+    let sender = FleetMemberSummary {
+        address: Ipv4Addr::new(10, 0, 0, 2),
+        data_centre: DataCentreId::from_name("a"),
+        incarnation: 1,
+        cpu_millicores: 100,
+        state: FleetMemberState::Ready,
+        watching: true,
+        heard_ago_ms: 0,
+    };
+    FleetDigest {
+        sender,
+        position: position(9),
+        manifest_version: 3,
+        confirmation_age_ms: Some(confirmation_age_ms),
+        wants_reply: false,
+        members: Vec::new(),
+    }
+}
+
+/// Guards against a woken host that takes what waited in its socket for just sent: confirmations of
+/// the registry, and load reports with the ages of silent upstreams.
+#[test]
+fn messages_that_waited_for_a_stalled_host_neither_confirm_nor_report_load() {
+    let mut controller = controller();
+    handle_at(&mut controller, WatchInput::Tick, 0);
+    let batch = complete_batch(9, vec![manifest(3, 9)]);
+    handle_at(&mut controller, WatchInput::StoreResult(Ok(batch)), 5);
+    handle_at(&mut controller, WatchInput::Tick, 100);
+    let digest = || WatchInput::Message(FleetMessage::Digest(digest_of_peer(10)));
+    let report = || {
+        WatchInput::Message(FleetMessage::Load(Ipv4Addr::new(10, 0, 0, 2), LoadReport::default()))
+    };
+    let installs_loads = |outputs: &[WatchOutput]| {
+        outputs.iter().any(|output| matches!(output, WatchOutput::InstallPeerLoads(_)))
+    };
+    let confirmation_age = |controller: &WatchController| {
+        controller.status(Duration::from_millis(2_310)).confirmation_age
+    };
+    // The tick may come before or after the messages that have waited.
+    for at_ms in [2_200, 2_201] {
+        assert!(!installs_loads(&handle_at(&mut controller, report(), at_ms)));
+        handle_at(&mut controller, digest(), at_ms);
+        assert_eq!(confirmation_age(&controller), None);
+        handle_at(&mut controller, WatchInput::Tick, 2_201);
+    }
+    handle_at(&mut controller, WatchInput::Tick, 2_301);
+    assert!(installs_loads(&handle_at(&mut controller, report(), 2_310)));
+    handle_at(&mut controller, digest(), 2_310);
+    assert_eq!(confirmation_age(&controller), Some(Duration::from_millis(10)));
+}
+
 #[test]
 fn unanswered_store_call_times_out_and_is_retried() {
     let mut controller = controller();
--- a/crates/mustardgrade-node/src/cookie_host/actor.rs
+++ b/crates/mustardgrade-node/src/cookie_host/actor.rs
@@ -9,7 +9,6 @@
 use kameo::error::Infallible;
 use kameo::message::{Context, Message};
 use mustardgrade_core::clock::Clock;
-use mustardgrade_core::cookie::LoadReport;
 use mustardgrade_core::registry::StorePosition;
 use mustardgrade_core::watch::{
     ChangeBatch, FleetMemberState, FleetMessage, StoreCall, WatchController, WatchInput,
@@ -23,7 +22,7 @@
 use super::adapters::RegistryStore;
 use super::admin_pages::{StatusPage, render_rules_page};
 use super::event_log::EventLog;
-use super::traffic_thread::SharedState;
+use super::traffic_thread::{BuiltLoadReport, SharedState};
 use crate::calls::CallClient;
 use crate::clock::UnixClock;
 use crate::metrics::{HostMetrics, SentByteKind};
@@ -72,7 +71,7 @@
     sealer: FrameSealer,
     store_call_task: Option<JoinHandle<()>>,
     store_call_number: u64,
-    last_load_report: Arc<LoadReport>,
+    last_load_report: Arc<BuiltLoadReport>,
     event_log: EventLog,
 }
 
@@ -112,11 +111,15 @@
 
     /// Passes the load report of the traffic thread to the controller if it is a new one.
     fn handle_load_report(&mut self, actor_ref: &ActorRef<Self>) {
-        let report = self.resources.shared.load_report.load_full();
-        if !Arc::ptr_eq(&report, &self.last_load_report) {
-            self.last_load_report = Arc::clone(&report);
-            self.handle_input(WatchInput::LocalLoad(LoadReport::clone(&report)), actor_ref);
+        let built = self.resources.shared.load_report.load_full();
+        if Arc::ptr_eq(&built, &self.last_load_report) {
+            return;
         }
+        self.last_load_report = Arc::clone(&built);
+        let mut report = built.report.clone();
+        // A stall of the host may lie between the building of the report and now.
+        report.add_age(self.resources.clock.now().saturating_sub(built.built_at));
+        self.handle_input(WatchInput::LocalLoad(report), actor_ref);
     }
 
     fn perform_output(&mut self, output: WatchOutput, actor_ref: &ActorRef<Self>) {
--- a/crates/mustardgrade-node/src/cookie_host/traffic_thread.rs
+++ b/crates/mustardgrade-node/src/cookie_host/traffic_thread.rs
@@ -38,6 +38,13 @@
 /// Number of loop iterations between publications of the counters while openings are pending.
 const ITERATIONS_PER_PUBLICATION: u32 = 64;
 
+/// `BuiltLoadReport` is a load report with the time of its building, from which its ages count.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct BuiltLoadReport {
+    pub(crate) report: LoadReport,
+    pub(crate) built_at: Duration,
+}
+
 /// `SharedState` is shared by the control thread and the traffic thread.
 #[derive(Debug, Default)]
 pub(crate) struct SharedState {
@@ -46,7 +53,7 @@
     /// Combined load reports of the other hosts.
     pub(crate) peer_loads: ArcSwap<PeerLoads>,
     /// Latest load report of the traffic thread.
-    pub(crate) load_report: ArcSwap<LoadReport>,
+    pub(crate) load_report: ArcSwap<BuiltLoadReport>,
     /// Whether the traffic thread has to end.
     pub(crate) stop_requested: AtomicBool,
     /// Time of the last received datagram, in milliseconds of the host's clock.
@@ -212,7 +219,8 @@
             let is_relevant = report.saturated || report.all_suspected || report.has_unanswered();
             if is_relevant || !self.installed_peer_loads.is_empty() || self.last_report_relevant {
                 self.last_report_relevant = is_relevant;
-                self.shared.load_report.store(Arc::new(report));
+                let built = BuiltLoadReport { report, built_at: now };
+                self.shared.load_report.store(Arc::new(built));
             }
         }
         self.unpublished_iterations += 1;
