Reports of silent upstreams count from their own times, and only until any host is answered

Cause: merging added the other hosts' unanswered flows to the host's own count, but kept its own start of the silence, which is zero or left from an older failure. The 450 ms of silence counted as over at once. The sum also took in hosts whose evidence is from before the upstream's last answer to another host, as long as one host's was from after it, and hosts whose evidence has no known age. The silence lasts since the first packet of those that count. Tests: silence_reported_by_other_hosts_lasts_since_their_first_unanswered_packet failed before; evidence_from_before_the_last_answer_to_any_host_does_not_count tests the new sum.

--- a/crates/mustardgrade-core/src/cookie/load.rs
+++ b/crates/mustardgrade-core/src/cookie/load.rs
@@ -80,11 +80,12 @@
 pub struct PeerLoad {
     /// Requests and openings in flight.
     pub in_flight: u32,
-    /// Unanswered flows.
+    /// Unanswered flows since the upstream last showed that it is alive.
     pub unanswered_flows: u32,
-    /// The latest of the times at which each host forwarded its first unanswered packet; `None` if
-    /// no host reports one of known age.
+    /// When the first unanswered packet of those flows was forwarded; `None` without such flows.
     pub unanswered_since: Option<Duration>,
+    /// The latest of the times at which each host forwarded its first unanswered packet.
+    pub latest_unanswered_since: Option<Duration>,
     /// When the upstream last showed that it is alive, by the clock of the host that aggregates
     /// the reports; zero if no report says so.
     pub last_alive: Duration,
@@ -92,11 +93,59 @@
     pub active_hosts: u32,
 }
 
+/// `UnansweredReport` is what one host reports of an upstream that does not answer it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct UnansweredReport {
+    flows: u32,
+    /// When the first unanswered packet of those flows was forwarded.
+    since: Duration,
+}
+
+/// `UpstreamReports` is what all reports together say of one upstream.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct UpstreamReports {
+    in_flight: u32,
+    active_hosts: u32,
+    last_alive: Duration,
+    unanswered: Vec<UnansweredReport>,
+}
+
+impl UpstreamReports {
+    fn add(&mut self, entry: &LoadEntry, received_at: Duration) {
+        let time_of = |age_ms: u16| {
+            let age = Duration::from_millis(u64::from(age_ms));
+            (age_ms != u16::MAX).then(|| received_at.saturating_sub(age))
+        };
+        self.in_flight += u32::from(entry.in_flight);
+        self.active_hosts += u32::from(entry.in_flight > 0);
+        self.last_alive = self.last_alive.max(time_of(entry.alive_age_ms).unwrap_or_default());
+        let flows = u32::from(entry.unanswered_flows);
+        if let (Some(since), true) = (time_of(entry.unanswered_age_ms), flows > 0) {
+            self.unanswered.push(UnansweredReport { flows, since });
+        }
+    }
+
+    fn load(&self, own_last_alive: Duration) -> PeerLoad {
+        let last_alive = self.last_alive.max(own_last_alive);
+        let valid = || self.unanswered.iter().filter(move |report| report.since > last_alive);
+        PeerLoad {
+            in_flight: self.in_flight,
+            unanswered_flows: valid().map(|report| report.flows).sum(),
+            unanswered_since: valid().map(|report| report.since).min(),
+            latest_unanswered_since: valid().map(|report| report.since).max(),
+            last_alive: self.last_alive,
+            active_hosts: self.active_hosts,
+        }
+    }
+}
+
 /// `PeerLoads` aggregates the load reports of the other hosts by upstream.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct PeerLoads {
-    by_upstream: HashMap<FlowCookie, PeerLoad>,
+    by_upstream: HashMap<FlowCookie, UpstreamReports>,
     complete_reports: usize,
     has_unanswered: bool,
 }
@@ -107,31 +156,23 @@
         self.complete_reports += usize::from(report.complete);
         self.has_unanswered |= report.has_unanswered();
         for entry in &report.entries {
-            let load = self.by_upstream.entry(entry.cookie).or_default();
-            load.in_flight += u32::from(entry.in_flight);
-            load.active_hosts += u32::from(entry.in_flight > 0);
-            load.unanswered_flows += u32::from(entry.unanswered_flows);
-            if entry.unanswered_flows > 0 && entry.unanswered_age_ms != u16::MAX {
-                let age = Duration::from_millis(u64::from(entry.unanswered_age_ms));
-                load.unanswered_since =
-                    load.unanswered_since.max(Some(received_at.saturating_sub(age)));
-            }
-            if entry.alive_age_ms != u16::MAX {
-                let age = Duration::from_millis(u64::from(entry.alive_age_ms));
-                load.last_alive = load.last_alive.max(received_at.saturating_sub(age));
-            }
+            self.by_upstream.entry(entry.cookie).or_default().add(entry, received_at);
         }
     }
 
-    /// Returns the aggregated load of an upstream; zero if no report lists it.
+    /// Returns the aggregated load of an upstream, which this host itself last knew to be alive at
+    /// `own_last_alive`; zero if no report lists it.
+    ///
+    /// What a host reports as unanswered counts only if the upstream has answered no host since.
     #[must_use]
-    pub fn get(&self, cookie: FlowCookie) -> PeerLoad {
-        self.by_upstream.get(&cookie).copied().unwrap_or_default()
+    pub fn load(&self, cookie: FlowCookie, own_last_alive: Duration) -> PeerLoad {
+        let reports = self.by_upstream.get(&cookie);
+        reports.map(|reports| reports.load(own_last_alive)).unwrap_or_default()
     }
 
-    /// Returns the aggregated load of each upstream that a report lists, in no particular order.
-    pub fn iter(&self) -> impl Iterator<Item = (FlowCookie, PeerLoad)> {
-        self.by_upstream.iter().map(|(cookie, load)| (*cookie, *load))
+    /// Returns the upstreams that a report lists, in no particular order.
+    pub fn upstreams(&self) -> impl Iterator<Item = FlowCookie> {
+        self.by_upstream.keys().copied()
     }
 
     /// Returns whether any report lists an upstream with unanswered flows.
--- a/crates/mustardgrade-core/src/cookie/reachability.rs
+++ b/crates/mustardgrade-core/src/cookie/reachability.rs
@@ -105,7 +105,7 @@
             }
             state.present_upstreams += 1;
             let own = tracker.unanswered_since();
-            let Some(silent_since) = own.into_iter().chain(peers.unanswered_since).max() else {
+            let Some(silent_since) = own.max(peers.latest_unanswered_since) else {
                 continue;
             };
             if silent_since > state.last_alive {
--- a/crates/mustardgrade-core/src/cookie/router.rs
+++ b/crates/mustardgrade-core/src/cookie/router.rs
@@ -174,11 +174,12 @@
     fn index_peer_loads(&mut self) {
         self.peer_loads.clear();
         self.peer_loads.resize(self.snapshot.upstreams.len(), PeerLoad::default());
-        for (cookie, load) in self.peers.iter() {
+        for cookie in self.peers.upstreams() {
             let Some(index) = self.snapshot.upstream_index(cookie) else { continue };
             // The index also maps cookies of an earlier run, whose load is not that of this one.
             if self.snapshot.upstreams[index].cookie == cookie {
-                self.peer_loads[index] = load;
+                let own_last_alive = self.trackers[index].last_alive;
+                self.peer_loads[index] = self.peers.load(cookie, own_last_alive);
             }
         }
     }
--- a/crates/mustardgrade-core/src/cookie/tests/evidence.rs
+++ b/crates/mustardgrade-core/src/cookie/tests/evidence.rs
@@ -1,10 +1,18 @@
 //! Evidence that an upstream is silent: what a stalled host, other hosts and the past contribute.
 
+use std::sync::Arc;
+
+use super::failure_detection::{answer_opening, leave_requests_unanswered};
 use super::fixtures::{
     DESK_ROUTE, TestRegistry, cookie_of, established_packet, flow_key, ms, routed_tag, syn_packet,
     upstream_registration,
 };
-use crate::cookie::{CookiePacket, CookieRouter, FlowCookie, LoadEntry, LoadReport};
+use crate::cookie::{
+    CookiePacket, CookieRouter, CookieVerdict, FlowCookie, LoadEntry, LoadReport, PeerLoads,
+    ResetCause,
+};
+
+const SILENT: CookieVerdict = CookieVerdict::Reset(ResetCause::UpstreamSilent);
 
 fn cookie_of_upstream_1() -> FlowCookie {
     cookie_of(&upstream_registration("desk", "a", 1))
@@ -27,6 +35,14 @@
     LoadReport { entries: vec![entry], ..LoadReport::default() }
 }
 
+fn install_reports(router: &mut CookieRouter, reports: &[LoadReport], received_at_ms: u64) {
+    let mut peers = PeerLoads::default();
+    for report in reports {
+        peers.add(report, ms(received_at_ms));
+    }
+    router.install_peer_loads(Arc::new(peers));
+}
+
 fn router_with_two_upstreams() -> CookieRouter {
     let mut registry = TestRegistry::new();
     registry.add_upstreams("desk", "a", 1..3);
@@ -105,6 +121,50 @@
     assert_eq!(router.trackers()[0].last_alive, ms(1_010));
 }
 
+/// Guards against a silence that is taken to have lasted since an older failure of this host, though
+/// the upstream has answered since and other hosts report it only just now.
+#[test]
+fn silence_reported_by_other_hosts_lasts_since_their_first_unanswered_packet() {
+    let mut router = router_with_two_upstreams();
+    leave_requests_unanswered(&mut router, &[1], DESK_ROUTE);
+    answer_opening(&mut router, 1, 1, 1_230);
+    let answer = established_packet(flow_key(1, DESK_ROUTE), cookie_of_upstream_1(), 301, 900, 0);
+    router.route(&answer, ms(1_240));
+    answer_from_2(&mut router, 1_900);
+    install_reports(&mut router, &[report_of_1(6, 100, u16::MAX)], 1_900);
+    assert_eq!(routed_tag(&mut router, &request_to_1(7), ms(1_950)), 1);
+    answer_from_2(&mut router, 2_300);
+    install_reports(&mut router, &[report_of_1(6, 500, u16::MAX)], 2_300);
+    assert_eq!(router.route(&request_to_1(8), ms(2_300)), SILENT);
+}
+
+#[test]
+fn evidence_from_before_the_last_answer_to_any_host_does_not_count() {
+    let mut peers = PeerLoads::default();
+    for report in [
+        report_of_1(3, 800, u16::MAX),
+        report_of_1(1, 100, 400),
+        report_of_1(2, 200, u16::MAX),
+        report_of_1(5, u16::MAX, u16::MAX),
+    ] {
+        peers.add(&report, ms(2_000));
+    }
+    let load = peers.load(cookie_of_upstream_1(), ms(0));
+    assert_eq!((load.unanswered_flows, load.unanswered_since), (3, Some(ms(1_800))));
+    let load = peers.load(cookie_of_upstream_1(), ms(1_850));
+    assert_eq!((load.unanswered_flows, load.unanswered_since), (1, Some(ms(1_900))));
+}
+
+/// Shows that upstream 2 answers, so that resets are allowed.
+fn answer_from_2(router: &mut CookieRouter, at_ms: u64) {
+    let cookie = cookie_of(&upstream_registration("desk", "a", 2));
+    router.process_timeouts(ms(at_ms));
+    for acknowledgement in [1, at_ms as u32] {
+        let key = flow_key(60, DESK_ROUTE);
+        router.route(&established_packet(key, cookie, 101, acknowledgement, 0), ms(at_ms));
+    }
+}
+
 #[test]
 fn ages_in_a_report_grow_until_it_is_sent() {
     let mut report = report_of_1(4, 100, u16::MAX - 5);
--- a/crates/mustardgrade-core/src/cookie/tracker.rs
+++ b/crates/mustardgrade-core/src/cookie/tracker.rs
@@ -246,7 +246,9 @@
             }
         }
         // Unanswered flows of other hosts count unless the upstream has answered any host since.
-        if peers.unanswered_since.is_some_and(|since| since > self.last_alive) {
+        if let Some(peers_since) = peers.unanswered_since.filter(|since| *since > self.last_alive) {
+            let since = self.unanswered_since().map_or(peers_since, |own| own.min(peers_since));
+            self.unanswered_since = since;
             self.unanswered_flows += peers.unanswered_flows;
         }
         self
