A host resets flows of a silent upstream only on recent evidence of its own

Cause: evidence had no end. Four unanswered packets made an upstream silent until it answered, and since its requests were reset, not forwarded, little could show that it answered again; the state of a whole data centre lasted until a probe by a new flow came back, up to 8 s. And reports of other hosts sufficed, so that one wrong host made all others break flows. Fix: a flow is reset only if the host itself has found a packet to that upstream, or to its unreachable data centre, unanswered within the last 2 s. Otherwise the request is forwarded; if the upstream is dead, its retransmission 200 ms later is the evidence and is answered with the reset. Only with a fabric that sprays packets, where a host rarely sees the retransmission, reports suffice as before. New flows avoid suspected upstreams as before. Tests, both failed before: reports_of_other_hosts_alone_reset_no_flow, evidence_of_silence_expires_and_is_renewed_by_one_retransmission.

--- a/crates/mustardgrade-core/src/cookie/observe.rs
+++ b/crates/mustardgrade-core/src/cookie/observe.rs
@@ -165,7 +165,7 @@
 
     pub(super) fn record_unanswered(&mut self, index: usize, sent_at: Duration, now: Duration) {
         let tracker = &mut self.trackers[index];
-        if tracker.record_unanswered(sent_at, &self.options.failure_detection) {
+        if tracker.record_unanswered(sent_at, &self.options.failure_detection, now) {
             self.counters.suspicions_raised += 1;
             self.events.push(FlowEvent::Suspected {
                 cookie: tracker.cookie,
--- a/crates/mustardgrade-core/src/cookie/reachability.rs
+++ b/crates/mustardgrade-core/src/cookie/reachability.rs
@@ -31,6 +31,8 @@
     present_upstreams: u32,
     /// When the earliest unanswered packet of the silent upstreams was sent.
     silent_since: Duration,
+    /// When this host last found a packet to one of its upstreams unanswered.
+    last_unanswered: Duration,
     /// Since when the data centre counts as unreachable.
     unreachable_since: Option<Duration>,
 }
@@ -104,6 +106,7 @@
                 continue;
             }
             state.present_upstreams += 1;
+            state.last_unanswered = state.last_unanswered.max(tracker.last_unanswered);
             let own = tracker.unanswered_since();
             let Some(silent_since) = own.max(peers.latest_unanswered_since) else {
                 continue;
@@ -134,7 +137,11 @@
         let Some(unreachable_since) = state.unreachable_since else { return };
         for (view, tracker) in self.snapshot.upstreams.iter().zip(&mut self.trackers) {
             if view.data_centre == data_centre {
-                tracker.presume_unanswered(unreachable_since, unanswered_flows);
+                tracker.presume_unanswered(
+                    unreachable_since,
+                    unanswered_flows,
+                    state.last_unanswered,
+                );
             }
         }
     }
--- a/crates/mustardgrade-core/src/cookie/router.rs
+++ b/crates/mustardgrade-core/src/cookie/router.rs
@@ -415,7 +415,10 @@
             return false;
         }
         let tracker = self.trackers[index].merged_with_peers(self.peer_loads[index]);
-        if !tracker.is_silent(options, now) {
+        // With a fabric that sprays packets, a host rarely sees the retransmissions of a flow.
+        let has_evidence =
+            self.options.fabric == FabricKind::Any || tracker.has_recent_evidence(options, now);
+        if !has_evidence || !tracker.is_silent(options, now) {
             return false;
         }
         let service = snapshot.upstreams[index].service;
--- a/crates/mustardgrade-core/src/cookie/tests/evidence.rs
+++ b/crates/mustardgrade-core/src/cookie/tests/evidence.rs
@@ -121,6 +121,20 @@
     assert_eq!(router.trackers()[0].last_alive, ms(1_010));
 }
 
+/// Guards against reports of one host, right or wrong, by which all others break flows.
+#[test]
+fn reports_of_other_hosts_alone_reset_no_flow() {
+    let mut router = router_with_two_upstreams();
+    answer_from_2(&mut router, 1_600);
+    install_reports(&mut router, &[report_of_1(9, 900, u16::MAX)], 1_600);
+    assert_eq!(routed_tag(&mut router, &request_to_1(7), ms(1_650)), 1);
+    // With one unanswered request of its own, the host resets the flow at the retransmission.
+    router.process_timeouts(ms(1_810));
+    answer_from_2(&mut router, 1_840);
+    install_reports(&mut router, &[report_of_1(9, 1_100, u16::MAX)], 1_840);
+    assert_eq!(router.route(&request_to_1(7), ms(1_850)), SILENT);
+}
+
 /// Guards against a silence that is taken to have lasted since an older failure of this host, though
 /// the upstream has answered since and other hosts report it only just now.
 #[test]
@@ -155,6 +169,22 @@
     assert_eq!((load.unanswered_flows, load.unanswered_since), (1, Some(ms(1_900))));
 }
 
+/// Guards against resets long after what made an upstream silent, such as a partition, has ended.
+#[test]
+fn evidence_of_silence_expires_and_is_renewed_by_one_retransmission() {
+    let mut router = router_with_two_upstreams();
+    leave_requests_unanswered(&mut router, &[1, 2, 3, 4], DESK_ROUTE);
+    answer_from_2(&mut router, 1_650);
+    assert_eq!(router.route(&request_to_1(7), ms(1_650)), SILENT);
+    router.process_timeouts(ms(3_290));
+    answer_from_2(&mut router, 3_300);
+    assert_eq!(routed_tag(&mut router, &request_to_1(8), ms(3_300)), 1);
+    // The upstream is silent still: the flow is reset when its request is retransmitted.
+    router.process_timeouts(ms(3_490));
+    answer_from_2(&mut router, 3_500);
+    assert_eq!(router.route(&request_to_1(8), ms(3_500)), SILENT);
+}
+
 /// Shows that upstream 2 answers, so that resets are allowed.
 fn answer_from_2(router: &mut CookieRouter, at_ms: u64) {
     let cookie = cookie_of(&upstream_registration("desk", "a", 2));
--- a/crates/mustardgrade-core/src/cookie/tracker.rs
+++ b/crates/mustardgrade-core/src/cookie/tracker.rs
@@ -34,6 +34,9 @@
     pub silence_timeout: Duration,
     /// Number of unanswered flows over all hosts that an upstream needs to count as silent.
     pub silent_min_unanswered: u32,
+    /// Time for which an unanswered packet of this host is evidence that an upstream is silent. What
+    /// made it silent, such as a partition, may have ended since.
+    pub silence_evidence_ttl: Duration,
     /// Flows of a silent upstream are reset only if another upstream of the service has answered
     /// within this time, which shows that this host's own network works.
     pub alternative_alive_window: Duration,
@@ -48,6 +51,7 @@
             probe_interval: Duration::from_millis(1_000),
             silence_timeout: Duration::from_millis(450),
             silent_min_unanswered: 4,
+            silence_evidence_ttl: Duration::from_millis(2_000),
             alternative_alive_window: Duration::from_millis(300),
         }
     }
@@ -75,10 +79,14 @@
     pub unanswered_flows: u32,
     /// When the earliest of their unanswered packets was forwarded.
     pub unanswered_since: Duration,
+    /// When this host last found one of its packets unanswered; zero if it never did.
+    pub last_unanswered: Duration,
     /// Unanswered flows that are presumed while the whole data centre is unreachable.
     pub presumed_unanswered_flows: u32,
     /// Since when the data centre has been unreachable.
     pub presumed_since: Duration,
+    /// When this host last found a packet to that data centre unanswered; zero if it never did.
+    pub presumed_last_unanswered: Duration,
     /// When a new flow last probed the upstream while it was suspected.
     pub last_probe: Duration,
     /// Probes since the upstream was last known to be alive.
@@ -101,8 +109,10 @@
             last_alive: Duration::ZERO,
             unanswered_flows: 0,
             unanswered_since: Duration::ZERO,
+            last_unanswered: Duration::ZERO,
             presumed_unanswered_flows: 0,
             presumed_since: Duration::ZERO,
+            presumed_last_unanswered: Duration::ZERO,
             last_probe: Duration::ZERO,
             probe_count: 0,
             next_cold_flow_at: Duration::ZERO,
@@ -148,11 +158,13 @@
     }
 
     /// Presumes `flows` unanswered flows since `since`, when the whole data centre became
-    /// unreachable, unless the upstream was alive after that.
-    pub fn presume_unanswered(&mut self, since: Duration, flows: u32) {
+    /// unreachable, unless the upstream was alive after that. `last_unanswered` is when this host
+    /// last found a packet to the data centre unanswered.
+    pub fn presume_unanswered(&mut self, since: Duration, flows: u32, last_unanswered: Duration) {
         if self.last_alive <= since {
             self.presumed_unanswered_flows = flows;
             self.presumed_since = since;
+            self.presumed_last_unanswered = last_unanswered;
         }
     }
 
@@ -172,16 +184,18 @@
         self.probe_count += 1;
     }
 
-    /// Records that a packet forwarded at `sent_at` is unanswered; returns whether the upstream
-    /// becomes suspected by it.
+    /// Records that a packet forwarded at `sent_at` has been found unanswered; returns whether the
+    /// upstream becomes suspected by it.
     pub fn record_unanswered(
         &mut self,
         sent_at: Duration,
         options: &FailureDetectionOptions,
+        now: Duration,
     ) -> bool {
         if sent_at <= self.last_alive {
             return false;
         }
+        self.last_unanswered = now;
         if self.unanswered_flows == 0 {
             self.unanswered_since = sent_at;
         }
@@ -266,6 +280,18 @@
         (observed || presumed) && has_lasted(self.last_alive)
     }
 
+    /// Returns whether this host itself has recently found a packet to the upstream, or to its
+    /// unreachable data centre, unanswered.
+    ///
+    /// Reports of other hosts may be wrong or outdated, so they do not suffice to break a flow.
+    #[must_use]
+    pub fn has_recent_evidence(&self, options: &FailureDetectionOptions, now: Duration) -> bool {
+        let is_recent =
+            |at: Duration| !at.is_zero() && now.saturating_sub(at) < options.silence_evidence_ttl;
+        let presumed = self.presumed_unanswered_flows > 0;
+        is_recent(self.last_unanswered) || (presumed && is_recent(self.presumed_last_unanswered))
+    }
+
     /// Returns the requests in flight, including pending openings, each of which will soon bring
     /// one.
     #[must_use]
