Own path: one odd entry of the host list or of a stored value leaves the others

Seen here: one entry of the catalogue that cannot be decoded made the whole list unreadable, so a host found no other host, without a line in its log. A rules document with revision 2^64-1, and a placement with such a generation, were taken in force; the next number overflows. Fix: entries are decoded one by one; an odd one is logged and left out. A watched value that cannot be decoded is logged as a warning. A rules file is accepted or refused as a whole, as before: its writers get the place and the cause, and half a file is not what they asked for.

--- a/crates/mustardgrade-core/src/membership/controller.rs
+++ b/crates/mustardgrade-core/src/membership/controller.rs
@@ -278,7 +278,7 @@
         self.fetch_configuration_if_behind(digest, now, outputs);
         // A peer that is two generations ahead did not wait for this host to apply the one between,
         // so the tables of this host may be wrong.
-        if digest.generation > self.placement.generation + 1 {
+        if digest.generation.saturating_sub(self.placement.generation) > 1 {
             outputs.push(ControllerOutput::SetTablesConfirmedAt(Duration::ZERO));
         }
     }
--- a/crates/mustardgrade-node/src/control/tasks.rs
+++ b/crates/mustardgrade-node/src/control/tasks.rs
@@ -140,7 +140,10 @@
                 }
                 Err(error) => {
                     self.metrics.store_failures.fetch_add(1, Ordering::Relaxed);
-                    log::debug!(key = self.key, error:% = error; "store watch failed");
+                    match error.is_undecodable() {
+                        true => log::warn!(error:% = error; "stored value left out"),
+                        false => log::debug!(key = self.key, error:% = error; "store watch failed"),
+                    }
                     index = 0;
                     tokio::time::sleep(retry_delay.mul_f64(rand::random_range(0.5..1.0))).await;
                     retry_delay = (retry_delay * 2).min(MAX_RETRY_DELAY);
@@ -176,8 +179,9 @@
                         return;
                     }
                 }
-                Err(_) => {
+                Err(error) => {
                     metrics.store_failures.fetch_add(1, Ordering::Relaxed);
+                    log::debug!(error:% = error; "host list cannot be read");
                 }
             }
         }
--- a/crates/mustardgrade-node/src/store/client.rs
+++ b/crates/mustardgrade-node/src/store/client.rs
@@ -9,6 +9,7 @@
 use mustardgrade_core::membership::ListedHost;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
+use serde_json::value::RawValue;
 
 use super::errors::{Result, StoreError};
 use super::http::{HttpClient, check_status, header_number};
@@ -69,6 +70,22 @@
     leaving: String,
 }
 
+/// Decodes an entry of the catalogue; one that cannot be decoded is logged and left out.
+fn decode_listed_host(entry: &RawValue) -> Option<ListedHost> {
+    let decoded = serde_json::from_str::<CatalogEntry>(entry.get());
+    let entry = decoded
+        .map_err(|error| {
+            log::warn!(error:% = error; "entry of the host list cannot be decoded, left out");
+        })
+        .ok()?;
+    Some(ListedHost {
+        host: HostId::from_name(&entry.service_meta.name),
+        address: entry.service_address,
+        data_centre: DataCentreId::from_name(&entry.service_meta.data_centre),
+        leaving: entry.service_meta.leaving == "true",
+    })
+}
+
 impl StoreClient {
     /// Creates a client for the store at `url`.
     ///
@@ -127,14 +144,8 @@
         let path = format!("/v1/catalog/service/{CATALOG_SERVICE}");
         let request = self.with_token(self.http.get(&path).timeout(CALL_TIMEOUT));
         let response = check_status(request.send().await?)?;
-        let entries: Vec<CatalogEntry> = response.json().await?;
-        let hosts = entries.into_iter().map(|entry| ListedHost {
-            host: HostId::from_name(&entry.service_meta.name),
-            address: entry.service_address,
-            data_centre: DataCentreId::from_name(&entry.service_meta.data_centre),
-            leaving: entry.service_meta.leaving == "true",
-        });
-        Ok(hosts.collect())
+        let entries: Vec<Box<RawValue>> = response.json().await?;
+        Ok(entries.iter().filter_map(|entry| decode_listed_host(entry)).collect())
     }
 
     /// Fetches a JSON document from the HTTP server of a host, without the platform's token.
@@ -166,10 +177,12 @@
         if response.status() == reqwest::StatusCode::NOT_FOUND {
             return Ok(ReadReply { value: None, index });
         }
-        let entries: Vec<KeyEntry> = check_status(response)?.json().await?;
-        let Some(entry) = entries.into_iter().next() else {
+        let entries: Vec<Box<RawValue>> = check_status(response)?.json().await?;
+        let Some(entry) = entries.first() else {
             return Ok(ReadReply { value: None, index });
         };
+        let entry: KeyEntry = serde_json::from_str(entry.get())
+            .map_err(|error| StoreError::invalid_value(key, error))?;
         let value = BASE64_STANDARD
             .decode(entry.value.unwrap_or_default())
             .map_err(|error| StoreError::invalid_value(key, error))?;
--- a/crates/mustardgrade-node/src/store/document.rs
+++ b/crates/mustardgrade-node/src/store/document.rs
@@ -15,6 +15,9 @@
 /// Key under which the placement is stored.
 pub const PLACEMENT_KEY: &str = "mustardgrade/placement";
 
+/// Largest revision or generation; so many writes never happen, and the next number does not overflow.
+const MAX_WRITE_NUMBER: u64 = u64::MAX / 2;
+
 /// `RulesDocument` is the stored form of an accepted revision of the rules.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -59,8 +62,9 @@
     ///
     /// # Errors
     ///
-    /// Fails if the text is not a valid rules file.
+    /// Fails if the text is not a valid rules file, or the revision is out of range.
     pub fn to_stored_rules(&self) -> Result<StoredRules> {
+        check_number(RULES_KEY, "revision", self.revision)?;
         Ok(StoredRules {
             revision: self.revision,
             recent_edits: self.recent_edits.clone(),
@@ -92,9 +96,20 @@
 ///
 /// # Errors
 ///
-/// Fails if the value is not a rules document.
+/// Fails if the value is not a rules document, or its revision is out of range.
 pub fn decode_rules(value: &[u8]) -> Result<RulesDocument> {
-    serde_json::from_slice(value).map_err(|error| StoreError::invalid_value(RULES_KEY, error))
+    let document: RulesDocument = serde_json::from_slice(value)
+        .map_err(|error| StoreError::invalid_value(RULES_KEY, error))?;
+    check_number(RULES_KEY, "revision", document.revision)?;
+    Ok(document)
+}
+
+/// Checks a number that increases by one with each write.
+fn check_number(key: &str, field: &str, number: u64) -> Result<()> {
+    match number <= MAX_WRITE_NUMBER {
+        true => Ok(()),
+        false => Err(StoreError::invalid_value(key, format!("{field} {number} is out of range"))),
+    }
 }
 
 /// Encodes a placement for the store.
@@ -111,11 +126,12 @@
 ///
 /// # Errors
 ///
-/// Fails if the value is not a placement, or a table has a number of buckets that is not a power of
-/// two.
+/// Fails if the value is not a placement, its generation is out of range, or a table has a number of
+/// buckets that is not a power of two.
 pub fn decode_placement(value: &[u8]) -> Result<PlacementMap> {
     let placement: PlacementMap = postcard::from_bytes(value)
         .map_err(|error| StoreError::invalid_value(PLACEMENT_KEY, error))?;
+    check_number(PLACEMENT_KEY, "generation", placement.generation)?;
     let has_valid_lengths =
         placement.tables.iter().all(|table| table.buckets.len().is_power_of_two());
     match has_valid_lengths {
--- a/crates/mustardgrade-node/src/store/errors.rs
+++ b/crates/mustardgrade-node/src/store/errors.rs
@@ -32,6 +32,15 @@
     pub fn invalid_value(key: &str, cause: impl ToString) -> Self {
         Self::InvalidValue { key: key.to_owned(), cause: cause.to_string() }
     }
+
+    /// Returns whether the store has answered, but not with what can be decoded.
+    #[must_use]
+    pub fn is_undecodable(&self) -> bool {
+        match self {
+            Self::InvalidReply(_) | Self::InvalidValue { .. } => true,
+            Self::Unreachable(_) | Self::Status(_) => false,
+        }
+    }
 }
 
 impl From<reqwest::Error> for StoreError {
