--- a/crates/mustardgrade-core/src/cookie/snapshot.rs
+++ b/crates/mustardgrade-core/src/cookie/snapshot.rs
@@ -224,12 +224,13 @@
     let registered_cold_until =
         match registration.cold_remaining.is_zero() || removal_possibly_spurious.is_some() {
             true => Duration::ZERO,
-            false => entry.learned_at + registration.cold_remaining,
+            false => entry.learned_at.saturating_add(registration.cold_remaining),
         };
     let evacuation_end = context.evacuation_ends.get(&registration.data_centre);
+    let cold_start_duration =
+        service_config.map_or(Duration::ZERO, |config| config.cold_start_duration);
     let evacuation_cold_until = evacuation_end.map_or(Duration::ZERO, |at| {
-        *at + service_config.map_or(Duration::ZERO, |config| config.cold_start_duration)
-            + MAX_COLD_REGISTRATION_DELAY
+        at.saturating_add(cold_start_duration).saturating_add(MAX_COLD_REGISTRATION_DELAY)
     });
     Some(UpstreamView {
         cookie: FlowCookie::derive(registration.tag, registration.incarnation),
--- a/crates/mustardgrade-core/src/cookie/tests/upstream_selection.rs
+++ b/crates/mustardgrade-core/src/cookie/tests/upstream_selection.rs
@@ -9,7 +9,9 @@
 };
 use crate::cookie::{CookieVerdict, LoadEntry, LoadReport, PeerLoads, ResetCause};
 use crate::identity::{DataCentreId, ServiceId};
-use crate::registry::{RegisteredState, RegistryKey, RegistryValue, RetryPolicy, RouteBackend};
+use crate::registry::{
+    RegisteredState, RegistryKey, RegistryValue, RetryPolicy, RouteBackend, UpstreamRegistration,
+};
 
 #[test]
 fn local_data_centre_is_preferred() {
@@ -213,3 +215,22 @@
     counted.sort_unstable();
     assert_eq!(counted, opened);
 }
+
+/// Guards against a control thread that ends because of a sum of times that overflows; a peer of an
+/// earlier version may send such a registration.
+#[test]
+fn upstream_that_is_cold_for_ever_leaves_the_others() {
+    let mut registry = TestRegistry::new();
+    registry.add_upstreams("desk", "a", 1..2);
+    let odd = UpstreamRegistration {
+        cold_remaining: Duration::MAX,
+        ..upstream_registration("desk", "a", 2)
+    };
+    registry.register(&odd, ms(1_000));
+    let a = DataCentreId::from_name("a");
+    registry.context.evacuation_ends.insert(a, Duration::MAX - ms(1));
+    let router = registry.router();
+    assert_eq!(router.snapshot().upstreams.len(), 2);
+    registry.context.evacuation_ends.clear();
+    registry.install_into(&mut registry.router());
+}
