A host's own last confirmation does not delay its next call of the store after a failure

Cause: the watch ends by its timeout 2.2 to 2.3 s after the last confirmation, which is the host's own. Below 2.25 s it counts as fresh, which is taken for 'other hosts reach the store', and the next call waits 2.4 to 4 s. With several hosts whose connections all go silent the same holds for the others' confirmations, which are of before the silence. Fix: only a confirmation since the first of the consecutive failures shows that other hosts reach the store. A host that alone is turned away makes one call more before it leaves the store to the others.

--- a/crates/mustardgrade-core/src/watch/controller.rs
+++ b/crates/mustardgrade-core/src/watch/controller.rs
@@ -66,6 +66,8 @@
     pub(super) next_probe_at: Duration,
     pub(super) watching: bool,
     pub(super) consecutive_failures: u32,
+    /// When the first of the consecutive failures was noticed.
+    pub(super) first_failure_at: Duration,
     pub(super) store_recovered_at: Option<Duration>,
     pub(super) pending_change_requests: HashMap<Ipv4Addr, Duration>,
     pub(super) first_read_at: Duration,
@@ -111,6 +113,7 @@
             next_probe_at: now,
             watching: false,
             consecutive_failures: 0,
+            first_failure_at: now,
             store_recovered_at: None,
             pending_change_requests: HashMap::new(),
             first_read_at,
--- a/crates/mustardgrade-core/src/watch/schedule.rs
+++ b/crates/mustardgrade-core/src/watch/schedule.rs
@@ -67,17 +67,16 @@
 
     /// Returns the delay before a host of `rank` calls again after consecutive failures.
     ///
-    /// It is longest while the last confirmation is fresh: other hosts then reach the store, and
-    /// only this host's calls fail.
+    /// It is longest while other hosts reach the store and only this host's calls fail.
     #[must_use]
     pub fn retry_delay(
         &self,
         consecutive_failures: u32,
         rank: usize,
-        confirmation_fresh: bool,
+        others_reach_store: bool,
     ) -> Duration {
         let rank_doublings = u32::try_from(rank).unwrap_or(u32::MAX);
-        let doublings = match confirmation_fresh {
+        let doublings = match others_reach_store {
             true => consecutive_failures.saturating_add(2),
             false => rank_doublings.saturating_add(consecutive_failures.saturating_sub(4) / 4),
         };
--- a/crates/mustardgrade-core/src/watch/store_calls.rs
+++ b/crates/mustardgrade-core/src/watch/store_calls.rs
@@ -90,13 +90,16 @@
         outputs: &mut Vec<WatchOutput>,
     ) {
         if self.consecutive_failures == 0 {
+            self.first_failure_at = now;
             outputs.push(WatchOutput::Event(WatchEvent::StoreFailed { cause }));
         }
         self.consecutive_failures += 1;
         let rank = self.fleet.rank(&self.own_summary(), now);
-        let confirmation_fresh = self.is_confirmation_fresh(now);
+        // Only a confirmation since the first failure shows that other hosts reach the store.
+        let others_reach_store = self.is_confirmation_fresh(now)
+            && self.confirmed_at.is_some_and(|at| at > self.first_failure_at);
         let delay =
-            self.options.schedule.retry_delay(self.consecutive_failures, rank, confirmation_fresh);
+            self.options.schedule.retry_delay(self.consecutive_failures, rank, others_reach_store);
         let jitter_factor = 0.75 + 0.5 * self.rng.random::<f64>();
         self.next_call_at = now + delay.mul_f64(jitter_factor);
     }
--- a/crates/mustardgrade-core/src/watch/tests/controller.rs
+++ b/crates/mustardgrade-core/src/watch/tests/controller.rs
@@ -189,6 +189,65 @@
     assert_eq!(confirmation_age(&controller), Some(Duration::from_millis(10)));
 }
 
+/// Returns a controller whose last confirmation is of 1,080 ms and whose watch since then gets no
+/// answer; it gives up the watch at 3,300 ms.
+fn controller_with_a_silent_store_connection() -> WatchController {
+    let mut controller = controller();
+    handle_at(&mut controller, WatchInput::Tick, 0);
+    let batch = complete_batch(9, vec![manifest(3, 9)]);
+    handle_at(&mut controller, WatchInput::StoreResult(Ok(batch)), 5);
+    let no_change = || {
+        let changes = Vec::new();
+        WatchInput::StoreResult(Ok(ChangeBatch {
+            after: position(9),
+            through: position(9),
+            changes,
+        }))
+    };
+    handle_at(&mut controller, no_change(), 10);
+    for at_ms in (100..=3_300).step_by(100) {
+        if at_ms == 1_100 {
+            handle_at(&mut controller, no_change(), 1_080);
+        }
+        handle_at(&mut controller, WatchInput::Tick, at_ms);
+    }
+    assert_eq!(controller.consecutive_failures, 1);
+    controller
+}
+
+/// Returns when the controller, ticking from `from_ms` on, calls the store.
+fn next_store_call(controller: &mut WatchController, from_ms: u64) -> u64 {
+    let is_call = |output: &WatchOutput| matches!(output, WatchOutput::CallStore(_));
+    let mut ticks = (from_ms..from_ms + 10_000).step_by(100);
+    ticks
+        .find(|at_ms| handle_at(controller, WatchInput::Tick, *at_ms).iter().any(is_call))
+        .expect("the store is called again")
+}
+
+/// Guards against a lone host that stays behind for seconds after a connection to the store has
+/// gone silent, since it takes its own last confirmation for that of other hosts.
+#[test]
+fn own_confirmation_does_not_delay_the_call_after_a_failure() {
+    let mut controller = controller_with_a_silent_store_connection();
+    let called_at = next_store_call(&mut controller, 3_400);
+    assert!(called_at <= 3_900, "called at {called_at} ms");
+}
+
+#[test]
+fn confirmation_by_another_host_since_the_failure_delays_the_next_call() {
+    let mut controller = controller_with_a_silent_store_connection();
+    let called_at = next_store_call(&mut controller, 3_400);
+    handle_at(
+        &mut controller,
+        WatchInput::Message(FleetMessage::Digest(digest_of_peer(10))),
+        called_at + 10,
+    );
+    let failure = StoreFailure::Failed("status 503".to_owned());
+    handle_at(&mut controller, WatchInput::StoreResult(Err(failure)), called_at + 20);
+    let delay = next_store_call(&mut controller, called_at + 100) - called_at;
+    assert!(delay >= 2_000, "called again after {delay} ms");
+}
+
 #[test]
 fn unanswered_store_call_times_out_and_is_retried() {
     let mut controller = controller();
