--- a/crates/mustardgrade-core/src/cookie/mod.rs
+++ b/crates/mustardgrade-core/src/cookie/mod.rs
@@ -8,6 +8,7 @@
 mod load;
 mod observe;
 mod observed_flows;
+mod openings;
 mod packet;
 mod picker;
 mod reachability;
--- a/crates/mustardgrade-core/src/cookie/observe.rs
+++ b/crates/mustardgrade-core/src/cookie/observe.rs
@@ -6,9 +6,9 @@
 use super::load::{LoadEntry, LoadReport, MAX_REPORT_ENTRIES};
 use super::observed_flows::{FlowStage, ObservedFlow};
 use super::packet::{AnswerStage, CookiePacket, FlowEvent};
-use super::router::{CookieRouter, FabricKind, QueuedOpening};
+use super::router::{CookieRouter, FabricKind};
 use super::tracker::UpstreamTracker;
-use crate::flow::FlowPacket;
+use crate::flow::{FlowKey, FlowPacket};
 
 /// Minimum age of a pending request from which a retransmission of its payload makes the flow count
 /// as unanswered.
@@ -23,11 +23,19 @@
 /// Time for which a new flow that found only suspected upstreams is reported.
 const ALL_SUSPECTED_TTL: Duration = Duration::from_millis(300);
 
+/// `QueuedRequest` is a request that counts as in flight until it is answered or was forwarded
+/// [`ASSUMED_ANSWER_DELAY`] ago.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct QueuedRequest {
+    pub(super) key: FlowKey,
+    pub(super) sent_at: Duration,
+}
+
 impl CookieRouter {
     /// Stops counting requests as in flight after [`ASSUMED_ANSWER_DELAY`], since callers may
     /// acknowledge a short answer only with their next request.
     pub(super) fn expire_pending_requests(&mut self, now: Duration) {
-        while let Some((sent_at, key)) = self.request_queue.front().copied() {
+        while let Some(QueuedRequest { key, sent_at }) = self.request_queue.front().copied() {
             if now.saturating_sub(sent_at) < ASSUMED_ANSWER_DELAY {
                 break;
             }
@@ -66,7 +74,7 @@
                 if self.options.fabric == FabricKind::Any && segment.is_pure_acknowledgement() {
                     // Callers send a pure acknowledgement as soon as they receive something, so the
                     // upstream was alive when it was sent.
-                    self.record_alive(index, self.latest_arrival(now));
+                    self.record_alive(index, self.assumed_arrival(now));
                 }
                 flow
             }
@@ -86,7 +94,7 @@
             flow.last_acknowledgement = segment.acknowledgement;
             flow.is_counted_unanswered = false;
             let answered_at = flow.request_sent_at.unwrap_or(flow.opened_at);
-            let mut alive_at = self.latest_arrival(now).max(answered_at);
+            let mut alive_at = self.assumed_arrival(now).max(answered_at);
             if let Some(sent_at) = flow.request_sent_at.take() {
                 if segment.payload_length > 0 {
                     // The answer may have arrived long before this request, which acknowledges it.
@@ -124,7 +132,7 @@
                 flow.request_sent_at = Some(now);
                 flow.is_counted_in_flight = true;
                 self.trackers[index].pending_requests += 1;
-                self.request_queue.push_back((now, segment.key));
+                self.request_queue.push_back(QueuedRequest { key: segment.key, sent_at: now });
             }
             return;
         }
@@ -148,9 +156,9 @@
         self.events.push(FlowEvent::Answered { key: segment.key, stage, latency });
     }
 
-    /// Returns when a packet that is routed now was received at the latest, as far as it matters
-    /// here; the earliest possible time if the packet may have been delayed at this host.
-    fn latest_arrival(&self, now: Duration) -> Duration {
+    /// Returns the time that counts as the arrival of a packet that is routed now: the earliest
+    /// possible one if the packet may have been delayed at this host.
+    fn assumed_arrival(&self, now: Duration) -> Duration {
         if self.is_delayed(now) { self.drained_at } else { now }
     }
 
@@ -175,24 +183,6 @@
         }
     }
 
-    /// Processes the timeout of an opening; without a follow-up packet it counts as unanswered.
-    pub(super) fn time_out_opening(&mut self, opening: &QueuedOpening, now: Duration) {
-        let Some(flow) = self.flows.get_mut(&opening.key) else { return };
-        if flow.stage != FlowStage::Opening || flow.opened_at != opening.sent_at {
-            return;
-        }
-        let counted_in_flight = std::mem::take(&mut flow.is_counted_in_flight);
-        let Some(index) = self.snapshot.upstream_index(flow.cookie) else { return };
-        // The opening no longer counts as in flight, since its caller may have given up.
-        let pending_openings = &mut self.trackers[index].pending_openings;
-        *pending_openings = pending_openings.saturating_sub(u32::from(counted_in_flight));
-        if opening.is_delayed {
-            self.counters.openings_delayed += 1;
-        } else if self.options.fabric == FabricKind::Hash {
-            self.record_unanswered(index, opening.sent_at, now);
-        }
-    }
-
     /// Returns the load report for the other hosts and updates reachability and utilisation.
     #[must_use]
     pub fn load_report(&mut self, now: Duration) -> LoadReport {
--- a/crates/mustardgrade-core/src/cookie/router.rs
+++ b/crates/mustardgrade-core/src/cookie/router.rs
@@ -10,9 +10,11 @@
 use super::counters::{CookieCounters, CookieDropCause, ResetCause};
 use super::flow_cookie::FlowCookie;
 use super::load::{PeerLoad, PeerLoads};
+use super::observe::QueuedRequest;
 use super::observed_flows::{FlowStage, ObservedFlow, ObservedFlowTable};
+use super::openings::QueuedOpening;
 use super::packet::{CookiePacket, CookieVerdict, FlowEvent};
-use super::picker::{PickBuffers, PickOutcome, UpstreamPicker};
+use super::picker::PickBuffers;
 use super::reachability::ReachabilityTable;
 use super::snapshot::{CookieRoute, CookieSnapshot, UpstreamView};
 use super::tracker::{FailureDetectionOptions, UpstreamTracker};
@@ -66,16 +68,6 @@
     }
 }
 
-/// `QueuedOpening` is a forwarded opening whose timeout has not been processed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) struct QueuedOpening {
-    pub(super) key: FlowKey,
-    pub(super) sent_at: Duration,
-    /// Whether the opening was delayed at this host, so that its caller may have turned to another
-    /// one.
-    pub(super) is_delayed: bool,
-}
-
 /// `CookieRouter` decides for each packet of a caller whether to forward, reset or drop it.
 #[derive(Debug)]
 pub struct CookieRouter {
@@ -87,7 +79,7 @@
     pub(super) peer_loads: Vec<PeerLoad>,
     pub(super) flows: ObservedFlowTable,
     pub(super) opening_queue: VecDeque<QueuedOpening>,
-    pub(super) request_queue: VecDeque<(Duration, FlowKey)>,
+    pub(super) request_queue: VecDeque<QueuedRequest>,
     pub(super) counters: CookieCounters,
     pub(super) events: Vec<FlowEvent>,
     /// When all packets received so far were last known to be routed. A packet routed since then
@@ -99,7 +91,7 @@
     pub(super) all_suspected_at: Option<Duration>,
     pub(super) reachability: ReachabilityTable,
     pub(super) report_cursor: usize,
-    pick_buffers: PickBuffers,
+    pub(super) pick_buffers: PickBuffers,
 }
 
 impl CookieRouter {
@@ -202,20 +194,10 @@
     /// upstream has answered may be among them.
     pub fn process_timeouts(&mut self, now: Duration) {
         if self.is_delayed(now) {
-            // The answers may have been lost or delayed at this host itself.
-            for opening in &mut self.opening_queue {
-                opening.is_delayed = true;
-            }
+            self.mark_openings_delayed();
         }
         self.drained_at = now;
-        let timeout = self.options.failure_detection.opening_timeout;
-        while let Some(opening) = self.opening_queue.front().copied() {
-            if now.saturating_sub(opening.sent_at) < timeout {
-                break;
-            }
-            self.opening_queue.pop_front();
-            self.time_out_opening(&opening, now);
-        }
+        self.time_out_openings(now);
         self.expire_pending_requests(now);
         if now.saturating_sub(self.last_expiry) >= EXPIRY_INTERVAL {
             self.last_expiry = now;
@@ -248,122 +230,6 @@
         }
     }
 
-    /// Routes an opening or its retransmission.
-    fn route_opening(
-        &mut self,
-        snapshot: &CookieSnapshot,
-        packet: &CookiePacket,
-        now: Duration,
-    ) -> CookieVerdict {
-        let segment = &packet.segment;
-        // Callers number the retransmissions of an opening in its acknowledgement field.
-        let retransmission = segment.acknowledgement;
-        let Some(route) = snapshot.routes.get(&segment.key.service) else {
-            // A manifest that adds the route may still arrive before the opening is retransmitted.
-            return match retransmission {
-                0 => CookieVerdict::Drop(CookieDropCause::UnknownRoute),
-                _ => CookieVerdict::Reset(ResetCause::NoRoute),
-            };
-        };
-        let previous = self.previous_upstream(snapshot, segment, retransmission, now);
-        if let Some((index, true)) = previous {
-            return self.forward_opening(snapshot, index, segment, now);
-        }
-        let fingerprint = segment.key.fingerprint(0);
-        let mut picker = UpstreamPicker {
-            snapshot,
-            trackers: &mut self.trackers,
-            peers: &self.peer_loads,
-            detection: &self.options.failure_detection,
-            buffers: &mut self.pick_buffers,
-            now,
-        };
-        let service = UpstreamPicker::pick_service(route, fingerprint);
-        let exclude = previous.map(|(index, _)| index);
-        let priority = route.config.priority;
-        let outcome = service.map_or(PickOutcome::NoUpstream, |service| {
-            picker.pick(service, fingerprint, priority, exclude)
-        });
-        let picked = match (outcome, previous) {
-            (PickOutcome::Picked(picked), _) => picked,
-            (PickOutcome::NoRoom | PickOutcome::NoUpstream, Some((index, _))) => {
-                return self.forward_opening(snapshot, index, segment, now);
-            }
-            (PickOutcome::NoRoom, None) => return CookieVerdict::Reset(ResetCause::NoRoom),
-            (PickOutcome::NoUpstream, None) => return CookieVerdict::Reset(ResetCause::NoUpstream),
-        };
-        let key = segment.key;
-        let cookie = snapshot.upstreams[picked.index].cookie;
-        if let Some(from) = exclude.map(|index| snapshot.upstreams[index].cookie) {
-            self.counters.openings_redirected += 1;
-            self.events.push(FlowEvent::Redirected { key, from, to: cookie });
-        }
-        if picked.all_suspected {
-            self.all_suspected_at = Some(now);
-        }
-        self.counters.flows_opened += 1;
-        self.counters.flows_opened_cold += u64::from(picked.cold);
-        self.counters.flows_spilled += u64::from(picked.spilled);
-        self.events.push(FlowEvent::Opened {
-            key,
-            cookie,
-            in_flight: self.trackers[picked.index].in_flight(),
-            retransmission,
-            cold: picked.cold,
-            spilled: picked.spilled,
-        });
-        self.forward_opening(snapshot, picked.index, segment, now)
-    }
-
-    /// Returns the upstream of an earlier transmission of the opening, and whether this one is to
-    /// be sent there as well.
-    fn previous_upstream(
-        &mut self,
-        snapshot: &CookieSnapshot,
-        segment: &FlowPacket,
-        retransmission: u32,
-        now: Duration,
-    ) -> Option<(usize, bool)> {
-        let flow = *self.flows.get(&segment.key)?;
-        if retransmission == 0 && flow.stage == FlowStage::Open {
-            self.remove_flow(&segment.key);
-            return None;
-        }
-        let index = snapshot.upstream_index(flow.cookie)?;
-        let view = &snapshot.upstreams[index];
-        let tracker = &self.trackers[index];
-        let is_alive = tracker.last_alive > flow.opened_at;
-        // Both transmissions may have waited at this host together; the upstream had no time then.
-        let is_early = self.is_delayed(now) && self.drained_at < flow.opened_at;
-        let keeps_upstream =
-            flow.stage == FlowStage::Open || retransmission == 0 || is_alive || is_early;
-        Some((index, keeps_upstream && view.accepts_flows(now)))
-    }
-
-    fn forward_opening(
-        &mut self,
-        snapshot: &CookieSnapshot,
-        index: usize,
-        segment: &FlowPacket,
-        now: Duration,
-    ) -> CookieVerdict {
-        let cookie = snapshot.upstreams[index].cookie;
-        let known = self.flows.get(&segment.key).copied();
-        if known.is_some_and(|flow| flow.stage == FlowStage::Open) {
-            return CookieVerdict::Forward { index, cookie };
-        }
-        if known.is_some() {
-            self.remove_flow(&segment.key);
-        }
-        if self.flows.insert(segment.key, ObservedFlow::opening(cookie, segment, now)) {
-            self.trackers[index].record_opening(now);
-            let is_delayed = self.is_delayed(now);
-            let opening = QueuedOpening { key: segment.key, sent_at: now, is_delayed };
-            self.opening_queue.push_back(opening);
-        }
-        CookieVerdict::Forward { index, cookie }
-    }
-
     /// Routes a packet of an open flow by its cookie.
     fn route_established(
         &mut self,
