A registration written after a restored store was entered is in force at once

The store came back as epoch 2 at 15.2 s, revision 27. The cut ended at 18.0 s, the upstreams registered again as revisions 28 to 34 of epoch 2, and every host logged 'change deferred': a registration that undoes a departure known from the lost history is put off for 4 s, since it may be a remainder of the copy. These were new writes; until 22.5 to 23.5 s the hosts took the upstreams for gone and reset their flows. Fix: the table remembers the position at which it entered the epoch. Only what the store had by then can be of the copy; later changes are new writes and are never put off. Test: registration_after_the_epoch_was_entered_is_in_force_at_once, failed before.

--- a/crates/mustardgrade-core/src/registry/table.rs
+++ b/crates/mustardgrade-core/src/registry/table.rs
@@ -130,6 +130,9 @@
     entries: BTreeMap<RegistryKey, RegistryEntry>,
     deferred_changes: BTreeMap<RegistryKey, DeferredChange>,
     complete_position: StorePosition,
+    /// Position at which the present epoch was entered. What the store had by then may come from the
+    /// copy that it was restored from; later changes are new writes.
+    epoch_entry: StorePosition,
     /// Position from which all removals are known, except those in the gap.
     history_start: StorePosition,
     read_gap: Option<ReadGap>,
@@ -202,7 +205,9 @@
             return ApplyOutcome::Outdated;
         }
         let setback = self.entries.get(&change.key).is_some_and(|entry| {
-            change.position.epoch > entry.position.epoch && is_setback(entry, &change.value)
+            change.position.epoch > entry.position.epoch
+                && self.may_be_of_copy(change.position)
+                && is_setback(entry, &change.value)
         });
         if setback {
             self.defer(change, now);
@@ -211,6 +216,10 @@
         self.replace_entry(change, now)
     }
 
+    fn may_be_of_copy(&self, position: StorePosition) -> bool {
+        position.epoch > self.complete_position.epoch || position <= self.epoch_entry
+    }
+
     fn defer(&mut self, change: RegistryChange, now: Duration) {
         let earlier = self.deferred_changes.get(&change.key);
         let due_at = earlier.map_or(now + SETBACK_DEFERRAL, |deferred| deferred.due_at);
@@ -273,6 +282,9 @@
         if position <= self.complete_position {
             return;
         }
+        if position.epoch > self.complete_position.epoch {
+            self.epoch_entry = position;
+        }
         let gap = ReadGap { after: self.complete_position, through: position };
         if let Some(earlier) = self.read_gap.replace(gap) {
             self.history_start = self.history_start.max(earlier.through);
--- a/crates/mustardgrade-core/src/watch/tests/restore.rs
+++ b/crates/mustardgrade-core/src/watch/tests/restore.rs
@@ -162,6 +162,27 @@
     assert_eq!(in_force(&controller), Some(&ready.value));
 }
 
+/// Guards against flows that are reset after a cut: an upstream that had lapsed in the lost history
+/// registers again with the restored store, which is no remainder of the copy.
+#[test]
+fn registration_after_the_epoch_was_entered_is_in_force_at_once() {
+    let ready = registration(RegisteredState::Ready, 1);
+    let mut controller =
+        watching_controller(vec![manifest(3, 2), at_position(1, 4, ready.clone())]);
+    let mut lapsed = at_position(1, 10, ready.clone());
+    lapsed.value = RegistryValue::Removed { possibly_spurious: false };
+    let batch =
+        ChangeBatch { after: position(1, 9), through: position(1, 10), changes: vec![lapsed] };
+    handle_at(&mut controller, WatchInput::Changes { from: PEER, batch: Some(batch) }, 100);
+    let batch = complete_batch_at(position(2, 7), vec![at_position(2, 2, manifest(3, 0))]);
+    handle_at(&mut controller, WatchInput::Changes { from: PEER, batch: Some(batch) }, 200);
+    let again = at_position(2, 8, ready);
+    let changes = vec![again.clone()];
+    let batch = ChangeBatch { after: position(2, 7), through: position(2, 8), changes };
+    handle_at(&mut controller, WatchInput::Changes { from: PEER, batch: Some(batch) }, 300);
+    assert_eq!(in_force(&controller), Some(&again.value));
+}
+
 #[test]
 fn later_run_that_a_restored_store_does_not_know_is_not_replaced_by_the_earlier() {
     let later = at_position(1, 9, registration(RegisteredState::Ready, 8));
