Open flows of an upstream that answers after its removal go on

What callers saw: after a cut the hosts in it reset the flows of their own, living upstreams, whose entries had lapsed since they did not reach the store. A host learns of such a removal when the cut ends, together with its age, so the upstream counts as gone at once, until it has registered again. New flows still avoid it until it registers. Test: flow_of_an_upstream_that_answers_after_its_removal_goes_on, failed before.

--- a/crates/mustardgrade-core/src/cookie/router.rs
+++ b/crates/mustardgrade-core/src/cookie/router.rs
@@ -252,7 +252,7 @@
             return CookieVerdict::Drop(CookieDropCause::ForeignCookie);
         }
         self.observe_segment(index, packet, view.cookie, now);
-        if view.is_gone(now) {
+        if view.is_gone(now) && !self.has_answered_since_removal(index) {
             return self.end_gone_flow(route, segment);
         }
         if self.should_reset_silent(snapshot, route, index, segment, now) {
@@ -298,6 +298,13 @@
         alternatives.filter(is_alive).count() >= 1
     }
 
+    /// Returns whether an upstream has answered since it counts as gone. Its entry then lapsed while
+    /// the upstream was cut off from the store, and it will register again.
+    fn has_answered_since_removal(&self, index: usize) -> bool {
+        let gone_at = self.snapshot.upstreams[index].gone_at;
+        gone_at.is_some_and(|gone_at| self.trackers[index].last_alive > gone_at)
+    }
+
     /// Ends a flow whose upstream is gone; the caller gets a reset only if it can safely repeat its
     /// request and has not reset the flow itself.
     fn end_gone_flow(&mut self, route: &CookieRoute, segment: &FlowPacket) -> CookieVerdict {
--- a/crates/mustardgrade-core/src/cookie/tests/misrouting.rs
+++ b/crates/mustardgrade-core/src/cookie/tests/misrouting.rs
@@ -6,7 +6,7 @@
     ARCHIVE_ROUTE, DESK_ROUTE, REGISTER_ROUTE, TestRegistry, cookie_of, established_packet,
     flow_key, ms, open_and_close, route_config, routed_tag, syn_packet, upstream_registration,
 };
-use crate::cookie::{CookieDropCause, CookieVerdict, FlowCookie, ResetCause};
+use crate::cookie::{CookieDropCause, CookieRouter, CookieVerdict, FlowCookie, ResetCause};
 use crate::registry::{RegistryKey, RegistryValue, RetryPolicy};
 
 #[test]
@@ -211,3 +211,31 @@
         assert_eq!(open_and_close(&mut router, flow_key(caller, DESK_ROUTE), ms(10)), 2);
     }
 }
+
+/// Guards against resets after a cut: the upstream's entry has lapsed since it did not reach the store,
+/// but it answers, and will register again.
+#[test]
+fn flow_of_an_upstream_that_answers_after_its_removal_goes_on() {
+    let mut registry = TestRegistry::new();
+    registry.add_upstreams("desk", "a", 1..3);
+    let mut router = registry.router();
+    let cookie = cookie_of(&upstream_registration("desk", "a", 1));
+    let key = flow_key(1, DESK_ROUTE);
+    let packet =
+        |acknowledgement, payload| established_packet(key, cookie, 101, acknowledgement, payload);
+    let answer_at = |router: &mut CookieRouter, at_ms: u64| {
+        router.process_timeouts(ms(at_ms));
+        router.route(&packet(at_ms as u32, 0), ms(at_ms))
+    };
+    answer_at(&mut router, 500);
+    answer_at(&mut router, 900);
+    answer_at(&mut router, 7_000);
+    // The removal at 1,000 ms is heard of only now.
+    registry.remove_upstream(1, false, ms(1_000));
+    registry.install_into(&mut router);
+    assert_eq!(routed_tag(&mut router, &packet(7_000, 50), ms(7_100)), 1);
+    // Without an answer since the removal, the flow is ended.
+    let mut router = registry.router();
+    let verdict = router.route(&packet(7_000, 50), ms(7_100));
+    assert_eq!(verdict, CookieVerdict::Reset(ResetCause::UpstreamGone));
+}
