--- a/crates/mustardgrade-core/src/cookie/openings.rs
+++ b/crates/mustardgrade-core/src/cookie/openings.rs
@@ -5,7 +5,7 @@
 use super::counters::{CookieDropCause, ResetCause};
 use super::observed_flows::{FlowStage, ObservedFlow};
 use super::packet::{CookiePacket, CookieVerdict, FlowEvent};
-use super::picker::{PickOutcome, UpstreamPicker};
+use super::picker::{PickOutcome, PickedUpstream, UpstreamPicker};
 use super::router::{CookieRouter, FabricKind};
 use super::snapshot::CookieSnapshot;
 use crate::flow::{FlowKey, FlowPacket};
@@ -20,6 +20,15 @@
     pub(super) is_delayed: bool,
 }
 
+/// `PreviousUpstream` is the upstream of an earlier transmission of an opening.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct PreviousUpstream {
+    /// Index in the snapshot.
+    index: usize,
+    /// Whether this transmission is to be sent there as well.
+    is_kept: bool,
+}
+
 impl CookieRouter {
     /// Routes an opening or its retransmission.
     pub(super) fn route_opening(
@@ -39,8 +48,8 @@
             };
         };
         let previous = self.previous_upstream(snapshot, segment, retransmission, now);
-        if let Some((index, true)) = previous {
-            return self.forward_opening(snapshot, index, segment, now);
+        if let Some(previous) = previous.filter(|previous| previous.is_kept) {
+            return self.forward_opening(snapshot, previous.index, segment, now);
         }
         let fingerprint = segment.key.fingerprint(0);
         let mut picker = UpstreamPicker {
@@ -52,28 +61,41 @@
             now,
         };
         let service = UpstreamPicker::pick_service(route, fingerprint);
-        let exclude = previous.map(|(index, _)| index);
+        let exclude = previous.map(|previous| previous.index);
         let priority = route.config.priority;
         let outcome = service.map_or(PickOutcome::NoUpstream, |service| {
             picker.pick(service, fingerprint, priority, exclude)
         });
-        let picked = match (outcome, previous) {
+        let picked = match (outcome, exclude) {
             (PickOutcome::Picked(picked), _) => picked,
-            (PickOutcome::NoRoom | PickOutcome::NoUpstream, Some((index, _))) => {
+            (PickOutcome::NoRoom | PickOutcome::NoUpstream, Some(index)) => {
                 return self.forward_opening(snapshot, index, segment, now);
             }
             (PickOutcome::NoRoom, None) => return CookieVerdict::Reset(ResetCause::NoRoom),
             (PickOutcome::NoUpstream, None) => return CookieVerdict::Reset(ResetCause::NoUpstream),
         };
+        if picked.all_suspected {
+            self.all_suspected_at = Some(now);
+        }
+        self.record_pick(snapshot, segment, picked, exclude);
+        self.forward_opening(snapshot, picked.index, segment, now)
+    }
+
+    /// Counts and reports that an opening was assigned to an upstream, instead of `previous` if
+    /// there was one.
+    fn record_pick(
+        &mut self,
+        snapshot: &CookieSnapshot,
+        segment: &FlowPacket,
+        picked: PickedUpstream,
+        previous: Option<usize>,
+    ) {
         let key = segment.key;
         let cookie = snapshot.upstreams[picked.index].cookie;
-        if let Some(from) = exclude.map(|index| snapshot.upstreams[index].cookie) {
+        if let Some(from) = previous.map(|index| snapshot.upstreams[index].cookie) {
             self.counters.openings_redirected += 1;
             self.events.push(FlowEvent::Redirected { key, from, to: cookie });
         }
-        if picked.all_suspected {
-            self.all_suspected_at = Some(now);
-        }
         self.counters.flows_opened += 1;
         self.counters.flows_opened_cold += u64::from(picked.cold);
         self.counters.flows_spilled += u64::from(picked.spilled);
@@ -81,22 +103,20 @@
             key,
             cookie,
             in_flight: self.trackers[picked.index].in_flight(),
-            retransmission,
+            retransmission: segment.acknowledgement,
             cold: picked.cold,
             spilled: picked.spilled,
         });
-        self.forward_opening(snapshot, picked.index, segment, now)
     }
 
-    /// Returns the upstream of an earlier transmission of the opening, and whether this one is to
-    /// be sent there as well.
+    /// Returns the upstream of an earlier transmission of the opening, if there was one.
     fn previous_upstream(
         &mut self,
         snapshot: &CookieSnapshot,
         segment: &FlowPacket,
         retransmission: u32,
         now: Duration,
-    ) -> Option<(usize, bool)> {
+    ) -> Option<PreviousUpstream> {
         let flow = *self.flows.get(&segment.key)?;
         if retransmission == 0 && flow.stage == FlowStage::Open {
             self.remove_flow(&segment.key);
@@ -110,7 +130,7 @@
         let is_early = self.is_delayed(now) && self.drained_at < flow.opened_at;
         let keeps_upstream =
             flow.stage == FlowStage::Open || retransmission == 0 || is_alive || is_early;
-        Some((index, keeps_upstream && view.accepts_flows(now)))
+        Some(PreviousUpstream { index, is_kept: keeps_upstream && view.accepts_flows(now) })
     }
 
     fn forward_opening(
--- a/crates/mustardgrade-core/src/watch/tests/restore.rs
+++ b/crates/mustardgrade-core/src/watch/tests/restore.rs
@@ -208,6 +208,8 @@
     let now = Duration::from_millis(10);
     let own_position = controller.status(now).position;
     assert!(!controller.changes_after(own_position, now).is_complete());
+    // What was removed before the host's only read is not known.
+    assert!(controller.changes_after(position(1, 3), now).is_complete());
     let batch = controller.changes_after(position(0, 8), now);
     assert!(batch.is_complete());
     assert_eq!(batch.changes.len(), 2);
