--- a/crates/mustardgrade-core/src/cookie/counters.rs
+++ b/crates/mustardgrade-core/src/cookie/counters.rs
@@ -49,6 +49,27 @@
     UpstreamSilent,
 }
 
+impl ResetCause {
+    /// All causes, in the order of declaration, by which the counters are indexed.
+    pub const ALL: [Self; 6] = [
+        Self::NoUpstream,
+        Self::NoRoom,
+        Self::NoRoute,
+        Self::RouteDropped,
+        Self::UpstreamGone,
+        Self::UpstreamSilent,
+    ];
+
+    /// Returns whether resets of this cause end open flows; the others refuse openings.
+    #[must_use]
+    pub fn ends_open_flow(self) -> bool {
+        match self {
+            Self::NoUpstream | Self::NoRoom | Self::NoRoute => false,
+            Self::RouteDropped | Self::UpstreamGone | Self::UpstreamSilent => true,
+        }
+    }
+}
+
 /// `CookieCounters` are the monotonic counters of a cookie router.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -70,6 +91,8 @@
     pub flows_refused: u64,
     /// Resets sent on packets of open flows.
     pub flows_reset: u64,
+    /// Resets sent, by cause in the order of [`ResetCause::ALL`].
+    pub resets_sent: [u64; ResetCause::ALL.len()],
     /// Packets dropped without an answer to the caller.
     pub packets_dropped: u64,
     /// Number of times an upstream became suspected because of unanswered flows.
@@ -77,3 +100,20 @@
     /// Number of times another data centre was declared unreachable.
     pub data_centre_outages: u64,
 }
+
+impl CookieCounters {
+    /// Counts one reset sent for `cause`.
+    pub fn count_reset(&mut self, cause: ResetCause) {
+        self.resets_sent[cause as usize] += 1;
+        match cause.ends_open_flow() {
+            true => self.flows_reset += 1,
+            false => self.flows_refused += 1,
+        }
+    }
+
+    /// Returns the number of resets sent for `cause`.
+    #[must_use]
+    pub fn resets_for(&self, cause: ResetCause) -> u64 {
+        self.resets_sent[cause as usize]
+    }
+}
--- a/crates/mustardgrade-core/src/cookie/packet.rs
+++ b/crates/mustardgrade-core/src/cookie/packet.rs
@@ -48,6 +48,21 @@
     Request,
 }
 
+/// `ResetEvidence` is what a host knew of an upstream when it reset a flow of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ResetEvidence {
+    /// Unanswered flows over all hosts since the upstream last answered any of them.
+    pub unanswered_flows: u32,
+    /// Unanswered flows presumed because the data centre is unreachable.
+    pub presumed_unanswered_flows: u32,
+    /// Time since the upstream last answered any host; `None` if it never did.
+    pub silence: Option<Duration>,
+    /// Time since this host itself last found a packet unanswered; `None` if it never did.
+    pub last_unanswered_age: Option<Duration>,
+    /// Time for which the upstream has counted as gone.
+    pub gone_for: Option<Duration>,
+}
+
 /// `FlowEvent` is a decision or an observation to be logged, or a latency to be recorded in a
 /// histogram.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -84,6 +99,8 @@
         cookie: FlowCookie,
         /// Reason for the reset.
         cause: ResetCause,
+        /// What the host knew of the flow's upstream; `None` if the cookie names none.
+        evidence: Option<ResetEvidence>,
     },
     /// An upstream has become suspected because its flows are not answered.
     Suspected {
--- a/crates/mustardgrade-core/src/cookie/router.rs
+++ b/crates/mustardgrade-core/src/cookie/router.rs
@@ -13,7 +13,7 @@
 use super::observe::QueuedRequest;
 use super::observed_flows::{FlowStage, ObservedFlow, ObservedFlowTable};
 use super::openings::QueuedOpening;
-use super::packet::{CookiePacket, CookieVerdict, FlowEvent};
+use super::packet::{CookiePacket, CookieVerdict, FlowEvent, ResetEvidence};
 use super::picker::PickBuffers;
 use super::reachability::ReachabilityTable;
 use super::snapshot::{CookieRoute, CookieSnapshot, UpstreamView};
@@ -184,7 +184,7 @@
             true if packet.segment.opens_flow() => self.route_opening(&snapshot, packet, now),
             true => self.route_established(&snapshot, packet, now),
         };
-        self.record_verdict(&verdict, packet);
+        self.record_verdict(&verdict, packet, now);
         verdict
     }
 
@@ -211,16 +211,14 @@
         now.saturating_sub(self.drained_at) > MAX_PACKET_DELAY
     }
 
-    fn record_verdict(&mut self, verdict: &CookieVerdict, packet: &CookiePacket) {
+    fn record_verdict(&mut self, verdict: &CookieVerdict, packet: &CookiePacket, now: Duration) {
         match verdict {
             CookieVerdict::Forward { .. } => self.counters.packets_forwarded += 1,
             CookieVerdict::Reset(cause) => {
-                match packet.segment.opens_flow() {
-                    true => self.counters.flows_refused += 1,
-                    false => self.counters.flows_reset += 1,
-                }
+                self.counters.count_reset(*cause);
                 let (key, cookie) = (packet.segment.key, packet.cookie);
-                self.events.push(FlowEvent::Reset { key, cookie, cause: *cause });
+                let evidence = self.reset_evidence(cookie, now);
+                self.events.push(FlowEvent::Reset { key, cookie, cause: *cause, evidence });
             }
             CookieVerdict::Drop(cause) => {
                 self.counters.packets_dropped += 1;
@@ -230,6 +228,20 @@
         }
     }
 
+    /// Returns what this host knows of the upstream of a flow that it resets.
+    fn reset_evidence(&self, cookie: FlowCookie, now: Duration) -> Option<ResetEvidence> {
+        let index = self.snapshot.upstream_index(cookie)?;
+        let tracker = self.trackers[index].merged_with_peers(self.peer_loads[index]);
+        let age = |at: Duration| (!at.is_zero()).then(|| now.saturating_sub(at));
+        Some(ResetEvidence {
+            unanswered_flows: tracker.unanswered_flows,
+            presumed_unanswered_flows: tracker.presumed_unanswered_flows,
+            silence: age(tracker.last_alive),
+            last_unanswered_age: age(self.trackers[index].last_unanswered),
+            gone_for: self.snapshot.upstreams[index].gone_at.and_then(|at| now.checked_sub(at)),
+        })
+    }
+
     /// Routes a packet of an open flow by its cookie.
     fn route_established(
         &mut self,
--- a/crates/mustardgrade-core/src/cookie/tests/evidence.rs
+++ b/crates/mustardgrade-core/src/cookie/tests/evidence.rs
@@ -5,7 +5,9 @@
     DESK_ROUTE, TestRegistry, cookie_of, cookie_of_upstream_1, established_packet, flow_key,
     install_reports, ms, report_of_1, routed_tag, syn_packet, upstream_registration,
 };
-use crate::cookie::{CookiePacket, CookieRouter, CookieVerdict, PeerLoads, ResetCause};
+use crate::cookie::{
+    CookiePacket, CookieRouter, CookieVerdict, FlowEvent, PeerLoads, ResetCause, ResetEvidence,
+};
 
 const SILENT: CookieVerdict = CookieVerdict::Reset(ResetCause::UpstreamSilent);
 
@@ -173,3 +175,23 @@
     let entry = report.entries[0];
     assert_eq!((entry.unanswered_age_ms, entry.alive_age_ms), (350, u16::MAX));
 }
+
+#[test]
+fn reset_is_reported_with_its_cause_and_evidence() {
+    let mut router = router_with_two_upstreams();
+    leave_requests_unanswered(&mut router, &[1, 2, 3, 4], DESK_ROUTE);
+    answer_from_2(&mut router, 1_650);
+    assert_eq!(router.route(&request_to_1(7), ms(1_650)), SILENT);
+    assert_eq!(router.counters().resets_for(ResetCause::UpstreamSilent), 1);
+    let mut events = Vec::new();
+    router.take_events(&mut events);
+    let expected = ResetEvidence {
+        unanswered_flows: 4,
+        presumed_unanswered_flows: 0,
+        silence: None,
+        last_unanswered_age: Some(ms(439)),
+        gone_for: None,
+    };
+    let is_expected = |event: &FlowEvent| matches!(event, FlowEvent::Reset { evidence: Some(evidence), .. } if *evidence == expected);
+    assert!(events.iter().any(is_expected), "{events:?}");
+}
--- a/crates/mustardgrade-node/src/cookie_host/flow_log.rs
+++ b/crates/mustardgrade-node/src/cookie_host/flow_log.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use mustardgrade_core::cookie::{CookieSnapshot, FlowCookie, FlowEvent, ResetCause};
+use mustardgrade_core::cookie::{CookieSnapshot, FlowCookie, FlowEvent};
 use mustardgrade_core::flow::FlowKey;
 
 use crate::logging::{LogDecision, LogRateLimiter};
@@ -42,11 +42,8 @@
         let limiter = match event {
             FlowEvent::Opened { .. } => &mut self.opened,
             FlowEvent::Redirected { .. } => &mut self.redirected,
-            FlowEvent::Reset {
-                cause: ResetCause::NoUpstream | ResetCause::NoRoom | ResetCause::NoRoute,
-                ..
-            } => &mut self.refused,
-            FlowEvent::Reset { .. } => &mut self.reset,
+            FlowEvent::Reset { cause, .. } if cause.ends_open_flow() => &mut self.reset,
+            FlowEvent::Reset { .. } => &mut self.refused,
             FlowEvent::Suspected { .. } | FlowEvent::Recovered { .. } => &mut self.liveness,
             FlowEvent::DataCentreUnreachable { .. } | FlowEvent::DataCentreReachable { .. } => {
                 &mut self.reachability
@@ -74,7 +71,16 @@
                 flow = flow_id(key), key:% = key, from = upstream(*from), to = upstream(*to),
                 version, revision, omitted; "opening redirected"
             ),
-            FlowEvent::Reset { key, cookie, cause } => log::info!(
+            FlowEvent::Reset { key, cookie, cause, evidence: Some(evidence) } => log::info!(
+                flow = flow_id(key), key:% = key, upstream = upstream(*cookie), cause:% = cause,
+                unanswered = evidence.unanswered_flows,
+                presumed = evidence.presumed_unanswered_flows,
+                silent_ms = millis(evidence.silence),
+                evidence_ms = millis(evidence.last_unanswered_age),
+                gone_ms = millis(evidence.gone_for),
+                version, revision, omitted; "flow reset"
+            ),
+            FlowEvent::Reset { key, cookie, cause, evidence: None } => log::info!(
                 flow = flow_id(key), key:% = key, upstream = upstream(*cookie), cause:% = cause,
                 version, revision, omitted; "flow reset"
             ),
@@ -108,6 +114,11 @@
     format!("{:016x}", key.fingerprint(0))
 }
 
+/// Returns a duration in milliseconds; `-` if there is none.
+fn millis(duration: Option<Duration>) -> String {
+    duration.map_or("-".to_owned(), |duration| duration.as_millis().to_string())
+}
+
 /// Returns the name of the upstream with a cookie; `-` if the snapshot has none.
 fn upstream_name(snapshot: &CookieSnapshot, cookie: FlowCookie) -> &str {
     snapshot.upstream_index(cookie).map_or("-", |index| &snapshot.upstreams[index].name)
--- a/crates/mustardgrade-node/src/metrics/registry.rs
+++ b/crates/mustardgrade-node/src/metrics/registry.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use mustardgrade_core::cookie::CookieCounters;
+use mustardgrade_core::cookie::{CookieCounters, ResetCause};
 use mustardgrade_core::flow::{DropCause, FlowCounters};
 use mustardgrade_core::request::RequestCounters;
 use prometheus_client::collector::Collector;
@@ -422,6 +422,17 @@
             let labels = [("cause", cause.to_string())];
             ConstCounter::new(flows.dropped(cause)).encode(drop_encoder.encode_family(&labels)?)?;
         }
+        let mut reset_encoder = encoder.encode_descriptor(
+            "cookie_resets_sent",
+            "Resets sent to callers by cause",
+            None,
+            prometheus_client::metrics::MetricType::Counter,
+        )?;
+        for cause in ResetCause::ALL {
+            let labels = [("cause", cause.to_string())];
+            let counter = ConstCounter::new(cookie.resets_for(cause));
+            counter.encode(reset_encoder.encode_family(&labels)?)?;
+        }
         Ok(())
     }
 }
