Open flows are reset on evidence of open flows only, not of openings

Cause: an opening without a follow-up packet counted like an unanswered request. It has many other causes: an upstream at its connection limit sends nothing, callers vanish, and a change of the fabric takes the next packet to another host. After a pause of 450 ms in the answers of the open flows, the next request was reset. The presumption for a whole data centre had the same fault. Ruled out as a remedy: the connection limit of the manifest; it would mend only the full upstream. Fix: an upstream counts as silent by requests that callers retransmit on open flows. Whoever retransmits at a host is there, has an open flow and has reached the same host twice. Openings still make new flows avoid an upstream as before.

--- a/crates/mustardgrade-core/src/cookie/load.rs
+++ b/crates/mustardgrade-core/src/cookie/load.rs
@@ -20,6 +20,8 @@
     pub in_flight: u16,
     /// Unanswered flows since the upstream last showed that it is alive.
     pub unanswered_flows: u16,
+    /// Those of them that are open, whose callers have recently retransmitted a request.
+    pub unanswered_requests: u16,
     /// Milliseconds since the first unanswered packet of those flows was forwarded; `u16::MAX` if
     /// there is none or at least that long ago.
     pub unanswered_age_ms: u16,
@@ -84,6 +86,10 @@
     pub unanswered_flows: u32,
     /// When the first unanswered packet of those flows was forwarded; `None` without such flows.
     pub unanswered_since: Option<Duration>,
+    /// Those of them that are open, whose callers have recently retransmitted a request.
+    pub unanswered_requests: u32,
+    /// When the hosts with such flows forwarded their first unanswered packet; `None` without them.
+    pub unanswered_requests_since: Option<Duration>,
     /// The latest of the times at which each host forwarded its first unanswered packet.
     pub latest_unanswered_since: Option<Duration>,
     /// When the upstream last showed that it is alive, by the clock of the host that aggregates
@@ -98,6 +104,7 @@
 #[serde(deny_unknown_fields)]
 struct UnansweredReport {
     flows: u32,
+    requests: u32,
     /// When the first unanswered packet of those flows was forwarded.
     since: Duration,
 }
@@ -123,17 +130,21 @@
         self.last_alive = self.last_alive.max(time_of(entry.alive_age_ms).unwrap_or_default());
         let flows = u32::from(entry.unanswered_flows);
         if let (Some(since), true) = (time_of(entry.unanswered_age_ms), flows > 0) {
-            self.unanswered.push(UnansweredReport { flows, since });
+            let requests = u32::from(entry.unanswered_requests);
+            self.unanswered.push(UnansweredReport { flows, requests, since });
         }
     }
 
     fn load(&self, own_last_alive: Duration) -> PeerLoad {
         let last_alive = self.last_alive.max(own_last_alive);
         let valid = || self.unanswered.iter().filter(move |report| report.since > last_alive);
+        let with_requests = || valid().filter(|report| report.requests > 0);
         PeerLoad {
             in_flight: self.in_flight,
             unanswered_flows: valid().map(|report| report.flows).sum(),
             unanswered_since: valid().map(|report| report.since).min(),
+            unanswered_requests: with_requests().map(|report| report.requests).sum(),
+            unanswered_requests_since: with_requests().map(|report| report.since).min(),
             latest_unanswered_since: valid().map(|report| report.since).max(),
             last_alive: self.last_alive,
             active_hosts: self.active_hosts,
--- a/crates/mustardgrade-core/src/cookie/observe.rs
+++ b/crates/mustardgrade-core/src/cookie/observe.rs
@@ -141,7 +141,7 @@
         let min_age = self.drained_at.saturating_sub(sent_at);
         if !flow.is_counted_unanswered && min_age >= MIN_RETRANSMISSION_AGE {
             flow.is_counted_unanswered = true;
-            self.record_unanswered(index, sent_at, now);
+            self.record_unanswered(index, AnswerStage::Request, sent_at, now);
         }
     }
 
@@ -171,9 +171,19 @@
         }
     }
 
-    pub(super) fn record_unanswered(&mut self, index: usize, sent_at: Duration, now: Duration) {
-        let tracker = &mut self.trackers[index];
-        if tracker.record_unanswered(sent_at, &self.options.failure_detection, now) {
+    pub(super) fn record_unanswered(
+        &mut self,
+        index: usize,
+        stage: AnswerStage,
+        sent_at: Duration,
+        now: Duration,
+    ) {
+        let (tracker, options) = (&mut self.trackers[index], &self.options.failure_detection);
+        let becomes_suspected = match stage {
+            AnswerStage::Opening => tracker.record_unanswered(sent_at, options),
+            AnswerStage::Request => tracker.record_unanswered_request(sent_at, options, now),
+        };
+        if becomes_suspected {
             self.counters.suspicions_raised += 1;
             self.events.push(FlowEvent::Suspected {
                 cookie: tracker.cookie,
@@ -231,6 +241,7 @@
         cookie: tracker.cookie,
         in_flight: saturate_u16(tracker.in_flight()),
         unanswered_flows: saturate_u16(tracker.unanswered_flows),
+        unanswered_requests: saturate_u16(tracker.unanswered_requests),
         unanswered_age_ms: unanswered_since.map_or(u16::MAX, age),
         alive_age_ms: if tracker.last_alive.is_zero() { u16::MAX } else { age(tracker.last_alive) },
     }
--- a/crates/mustardgrade-core/src/cookie/router.rs
+++ b/crates/mustardgrade-core/src/cookie/router.rs
@@ -267,7 +267,8 @@
 
     /// Returns whether to reset an open flow so that its caller reconnects: the packet carries a
     /// request of an idempotent route, the upstream is silent, and another upstream of the service
-    /// answers.
+    /// answers. This host itself must have found the request, or those of several other open flows,
+    /// unanswered.
     fn should_reset_silent(
         &self,
         snapshot: &CookieSnapshot,
@@ -280,11 +281,12 @@
         if segment.payload_length == 0 || route.config.retry_policy != RetryPolicy::Idempotent {
             return false;
         }
-        let tracker = self.trackers[index].merged_with_peers(self.peer_loads[index]);
         // With a fabric that sprays packets, a host rarely sees the retransmissions of a flow.
-        let has_evidence =
-            self.options.fabric == FabricKind::Any || tracker.has_recent_evidence(options, now);
-        if !has_evidence || !tracker.is_silent(options, now) {
+        let own = self.trackers[index];
+        let has_evidence = self.options.fabric == FabricKind::Any
+            || own.has_own_evidence(options, now)
+            || self.flows.get(&segment.key).is_some_and(|flow| flow.is_counted_unanswered);
+        if !has_evidence || !own.merged_with_peers(self.peer_loads[index]).is_silent(options, now) {
             return false;
         }
         let service = snapshot.upstreams[index].service;
--- a/crates/mustardgrade-core/src/cookie/tests/fixtures.rs
+++ b/crates/mustardgrade-core/src/cookie/tests/fixtures.rs
@@ -223,7 +223,8 @@
     cookie_of(&upstream_registration("desk", "a", 1))
 }
 
-/// Returns a report of another host that lists upstream 1 only.
+/// Returns a report of another host that lists upstream 1 only, with requests on open flows that it
+/// leaves unanswered.
 pub(super) fn report_of_1(
     unanswered_flows: u16,
     unanswered_age_ms: u16,
@@ -233,6 +234,7 @@
         cookie: cookie_of_upstream_1(),
         in_flight: 0,
         unanswered_flows,
+        unanswered_requests: unanswered_flows,
         unanswered_age_ms,
         alive_age_ms,
     };
--- a/crates/mustardgrade-core/src/cookie/tracker.rs
+++ b/crates/mustardgrade-core/src/cookie/tracker.rs
@@ -32,10 +32,12 @@
     /// Time without an answer on any flow after which an upstream counts as silent and its open
     /// flows may be reset.
     pub silence_timeout: Duration,
-    /// Number of unanswered flows over all hosts that an upstream needs to count as silent.
+    /// Number of open flows with an unanswered request, over all hosts, that an upstream needs to
+    /// count as silent.
     pub silent_min_unanswered: u32,
-    /// Time for which an unanswered packet of this host is evidence that an upstream is silent. What
-    /// made it silent, such as a partition, may have ended since.
+    /// Time for which the unanswered requests that this host has found suffice to reset other
+    /// flows, from the last one found. What made an upstream silent, such as a partition, may have
+    /// ended since.
     pub silence_evidence_ttl: Duration,
     /// Flows of a silent upstream are reset only if another upstream of the service has answered
     /// within this time, which shows that this host's own network works.
@@ -79,14 +81,18 @@
     pub unanswered_flows: u32,
     /// When the earliest of their unanswered packets was forwarded.
     pub unanswered_since: Duration,
-    /// When this host last found one of its packets unanswered; zero if it never did.
-    pub last_unanswered: Duration,
+    /// Those of the unanswered flows that are open, whose callers have retransmitted a request.
+    pub unanswered_requests: u32,
+    /// When the earliest of these requests was forwarded.
+    pub unanswered_requests_since: Duration,
+    /// When this host last found a request unanswered.
+    pub last_unanswered_request: Duration,
     /// Unanswered flows that are presumed while the whole data centre is unreachable.
     pub presumed_unanswered_flows: u32,
     /// Since when the data centre has been unreachable.
     pub presumed_since: Duration,
-    /// When this host last found a packet to that data centre unanswered; zero if it never did.
-    pub presumed_last_unanswered: Duration,
+    /// Unanswered requests to the unreachable data centre that this host has recently found.
+    pub presumed_own_requests: u32,
     /// When a new flow last probed the upstream while it was suspected.
     pub last_probe: Duration,
     /// Probes since the upstream was last known to be alive.
@@ -109,10 +115,12 @@
             last_alive: Duration::ZERO,
             unanswered_flows: 0,
             unanswered_since: Duration::ZERO,
-            last_unanswered: Duration::ZERO,
+            unanswered_requests: 0,
+            unanswered_requests_since: Duration::ZERO,
+            last_unanswered_request: Duration::ZERO,
             presumed_unanswered_flows: 0,
             presumed_since: Duration::ZERO,
-            presumed_last_unanswered: Duration::ZERO,
+            presumed_own_requests: 0,
             last_probe: Duration::ZERO,
             probe_count: 0,
             next_cold_flow_at: Duration::ZERO,
@@ -143,6 +151,9 @@
         if at >= self.unanswered_since {
             self.unanswered_flows = 0;
         }
+        if at >= self.unanswered_requests_since {
+            self.unanswered_requests = 0;
+        }
         if at >= self.presumed_since {
             self.presumed_unanswered_flows = 0;
         }
@@ -157,14 +168,31 @@
         (self.unanswered_flows > 0).then_some(self.unanswered_since)
     }
 
+    /// Returns the number of unanswered requests if this host has found the last one recently.
+    #[must_use]
+    pub fn recent_unanswered_requests(
+        &self,
+        options: &FailureDetectionOptions,
+        now: Duration,
+    ) -> u32 {
+        let age = now.saturating_sub(self.last_unanswered_request);
+        if age < options.silence_evidence_ttl { self.unanswered_requests } else { 0 }
+    }
+
+    /// Returns when the earliest unanswered request was forwarded, if there is one.
+    #[must_use]
+    pub fn unanswered_requests_since(&self) -> Option<Duration> {
+        (self.unanswered_requests > 0).then_some(self.unanswered_requests_since)
+    }
+
     /// Presumes `flows` unanswered flows since `since`, when the whole data centre became
-    /// unreachable, unless the upstream was alive after that. `last_unanswered` is when this host
-    /// last found a packet to the data centre unanswered.
-    pub fn presume_unanswered(&mut self, since: Duration, flows: u32, last_unanswered: Duration) {
+    /// unreachable, unless the upstream was alive after that. `own_requests` of this host to the
+    /// data centre have recently been found unanswered.
+    pub fn presume_unanswered(&mut self, since: Duration, flows: u32, own_requests: u32) {
         if self.last_alive <= since {
             self.presumed_unanswered_flows = flows;
             self.presumed_since = since;
-            self.presumed_last_unanswered = last_unanswered;
+            self.presumed_own_requests = own_requests;
         }
     }
 
@@ -176,6 +204,9 @@
             self.unanswered_flows = 0;
             self.probe_count = 0;
         }
+        if self.unanswered_requests_since >= since {
+            self.unanswered_requests = 0;
+        }
     }
 
     /// Records that a new flow probes the upstream, or another one that most likely failed with it.
@@ -190,12 +221,10 @@
         &mut self,
         sent_at: Duration,
         options: &FailureDetectionOptions,
-        now: Duration,
     ) -> bool {
         if sent_at <= self.last_alive {
             return false;
         }
-        self.last_unanswered = now;
         if self.unanswered_flows == 0 {
             self.unanswered_since = sent_at;
         }
@@ -204,6 +233,23 @@
         self.unanswered_flows == options.suspect_min_unanswered
     }
 
+    /// Records that a request forwarded at `sent_at` on an open flow has been found unanswered;
+    /// returns whether the upstream becomes suspected by it.
+    pub fn record_unanswered_request(
+        &mut self,
+        sent_at: Duration,
+        options: &FailureDetectionOptions,
+        now: Duration,
+    ) -> bool {
+        if sent_at > self.last_alive {
+            let since = self.unanswered_requests_since().unwrap_or(sent_at);
+            self.unanswered_requests_since = since.min(sent_at);
+            self.unanswered_requests += 1;
+            self.last_unanswered_request = now;
+        }
+        self.record_unanswered(sent_at, options)
+    }
+
     /// Returns whether the upstream is suspected of having failed.
     #[must_use]
     pub fn is_suspected(&self, options: &FailureDetectionOptions) -> bool {
@@ -255,6 +301,9 @@
             if peers.last_alive >= self.unanswered_since {
                 self.unanswered_flows = 0;
             }
+            if peers.last_alive >= self.unanswered_requests_since {
+                self.unanswered_requests = 0;
+            }
             if peers.last_alive >= self.presumed_since {
                 self.presumed_unanswered_flows = 0;
             }
@@ -265,33 +314,44 @@
             self.unanswered_since = since;
             self.unanswered_flows += peers.unanswered_flows;
         }
+        let requests_since = peers.unanswered_requests_since;
+        if let Some(peers_since) = requests_since.filter(|since| *since > self.last_alive) {
+            let own_since = self.unanswered_requests_since();
+            self.unanswered_requests_since = own_since.unwrap_or(peers_since).min(peers_since);
+            self.unanswered_requests += peers.unanswered_requests;
+        }
         self
     }
 
-    /// Returns whether the upstream has been silent for so long, and on so many flows, that its
-    /// open flows may be reset.
+    /// Returns whether this host itself has recently found a request on an open flow to the
+    /// upstream, or to its unreachable data centre, unanswered.
+    ///
+    /// Reports of other hosts may be wrong or outdated, so they do not suffice to break a flow.
+    #[must_use]
+    pub fn has_own_evidence(&self, options: &FailureDetectionOptions, now: Duration) -> bool {
+        let presumed = match self.presumed_unanswered_flows {
+            0 => 0,
+            _ => self.presumed_own_requests,
+        };
+        let observed = self.recent_unanswered_requests(options, now);
+        observed.max(presumed) > 0
+    }
+
+    /// Returns whether the upstream has been silent for so long, and on so many open flows, that
+    /// its open flows may be reset.
+    ///
+    /// Openings do not count: a full upstream answers none, and their callers may have given up or
+    /// been moved to another host by the fabric.
     #[must_use]
     pub fn is_silent(&self, options: &FailureDetectionOptions, now: Duration) -> bool {
         let has_lasted = |since| now.saturating_sub(since) >= options.silence_timeout;
-        let observed = self.unanswered_flows >= options.silent_min_unanswered
-            && has_lasted(self.unanswered_since);
+        let observed = self.unanswered_requests >= options.silent_min_unanswered
+            && has_lasted(self.unanswered_requests_since);
         let presumed = self.presumed_unanswered_flows >= options.silent_min_unanswered
             && has_lasted(self.presumed_since);
         (observed || presumed) && has_lasted(self.last_alive)
     }
 
-    /// Returns whether this host itself has recently found a packet to the upstream, or to its
-    /// unreachable data centre, unanswered.
-    ///
-    /// Reports of other hosts may be wrong or outdated, so they do not suffice to break a flow.
-    #[must_use]
-    pub fn has_recent_evidence(&self, options: &FailureDetectionOptions, now: Duration) -> bool {
-        let is_recent =
-            |at: Duration| !at.is_zero() && now.saturating_sub(at) < options.silence_evidence_ttl;
-        let presumed = self.presumed_unanswered_flows > 0;
-        is_recent(self.last_unanswered) || (presumed && is_recent(self.presumed_last_unanswered))
-    }
-
     /// Returns the requests in flight, including pending openings, each of which will soon bring
     /// one.
     #[must_use]
