Evidence of silence starts anew after 3 s without another unanswered request

What callers would see: an open flow of an upstream that serves again is reset when one of its requests is lost, long after a partition has ended. Cause: unanswered requests counted until the upstream's next answer. Where the flows of a partition were reset and new ones go elsewhere, no answer comes for seconds; the count of four still stood and one retransmission renewed it. Fix: a gap of 3 s between two unanswered requests, more than callers' longest interval between retransmissions, starts the count anew, and reports leave out a count that old. Test: lost_request_after_a_partition_resets_no_flow failed before (UpstreamSilent).

--- a/crates/mustardgrade-core/src/cookie/observe.rs
+++ b/crates/mustardgrade-core/src/cookie/observe.rs
@@ -7,7 +7,7 @@
 use super::observed_flows::{FlowStage, ObservedFlow};
 use super::packet::{AnswerStage, CookiePacket, FlowEvent};
 use super::router::{CookieRouter, FabricKind};
-use super::tracker::UpstreamTracker;
+use super::tracker::{FailureDetectionOptions, UpstreamTracker};
 use crate::flow::{FlowKey, FlowPacket};
 
 /// Minimum age of a pending request from which a retransmission of its payload makes the flow count
@@ -217,7 +217,7 @@
         let entries: Vec<LoadEntry> = with_unanswered
             .chain(healthy)
             .take(MAX_REPORT_ENTRIES)
-            .map(|tracker| load_entry(tracker, now))
+            .map(|tracker| load_entry(tracker, &self.options.failure_detection, now))
             .collect();
         self.report_cursor = match entries.len() < MAX_REPORT_ENTRIES {
             true => 0,
@@ -234,14 +234,19 @@
     }
 }
 
-fn load_entry(tracker: &UpstreamTracker, now: Duration) -> LoadEntry {
+fn load_entry(
+    tracker: &UpstreamTracker,
+    options: &FailureDetectionOptions,
+    now: Duration,
+) -> LoadEntry {
     let age = |since| saturate_u16(now.saturating_sub(since).as_millis() as u32);
     let unanswered_since = tracker.unanswered_since();
+    let unanswered_requests = tracker.without_expired_requests(options, now).unanswered_requests;
     LoadEntry {
         cookie: tracker.cookie,
         in_flight: saturate_u16(tracker.in_flight()),
         unanswered_flows: saturate_u16(tracker.unanswered_flows),
-        unanswered_requests: saturate_u16(tracker.unanswered_requests),
+        unanswered_requests: saturate_u16(unanswered_requests),
         unanswered_age_ms: unanswered_since.map_or(u16::MAX, age),
         alive_age_ms: if tracker.last_alive.is_zero() { u16::MAX } else { age(tracker.last_alive) },
     }
--- a/crates/mustardgrade-core/src/cookie/reachability.rs
+++ b/crates/mustardgrade-core/src/cookie/reachability.rs
@@ -112,8 +112,9 @@
                 continue;
             }
             state.present_upstreams += 1;
+            let own_requests = tracker.without_expired_requests(options, now);
             let requests_since =
-                tracker.unanswered_requests_since().max(peers.unanswered_requests_since);
+                own_requests.unanswered_requests_since().max(peers.unanswered_requests_since);
             let is_silent_on_open_flows = requests_since > Some(state.last_alive);
             state.silent_on_open_flows += u32::from(is_silent_on_open_flows);
             if is_silent_on_open_flows {
--- a/crates/mustardgrade-core/src/cookie/router.rs
+++ b/crates/mustardgrade-core/src/cookie/router.rs
@@ -282,7 +282,7 @@
             return false;
         }
         // With a fabric that sprays packets, a host rarely sees the retransmissions of a flow.
-        let own = self.trackers[index];
+        let own = self.trackers[index].without_expired_requests(options, now);
         let has_evidence = self.options.fabric == FabricKind::Any
             || own.has_own_evidence(options, now)
             || self.flows.get(&segment.key).is_some_and(|flow| flow.is_counted_unanswered);
--- a/crates/mustardgrade-core/src/cookie/tests/evidence.rs
+++ b/crates/mustardgrade-core/src/cookie/tests/evidence.rs
@@ -202,3 +202,16 @@
     answer_from_2(&mut router, 1_845);
     assert_eq!(routed_tag(&mut router, &request_to_1(9_001), ms(1_850)), 1);
 }
+
+/// Guards against a reset by one lost request long after a partition, whose evidence no answer has
+/// ended because no flow was left to show one.
+#[test]
+fn lost_request_after_a_partition_resets_no_flow() {
+    let mut router = router_with_two_upstreams();
+    leave_requests_unanswered(&mut router, &[1, 2, 3, 4], DESK_ROUTE);
+    router.process_timeouts(ms(9_000));
+    assert_eq!(routed_tag(&mut router, &request_to_1(7), ms(9_000)), 1);
+    router.process_timeouts(ms(9_200));
+    answer_from_2(&mut router, 9_205);
+    assert_eq!(routed_tag(&mut router, &request_to_1(7), ms(9_210)), 1);
+}
--- a/crates/mustardgrade-core/src/cookie/tracker.rs
+++ b/crates/mustardgrade-core/src/cookie/tracker.rs
@@ -39,6 +39,9 @@
     /// flows, from the last one found. What made an upstream silent, such as a partition, may have
     /// ended since.
     pub silence_evidence_ttl: Duration,
+    /// Time without another unanswered request after which their count starts anew; longer than the
+    /// longest interval at which callers retransmit.
+    pub silence_restart_gap: Duration,
     /// Flows of a silent upstream are reset only if another upstream of the service has answered
     /// within this time, which shows that this host's own network works.
     pub alternative_alive_window: Duration,
@@ -54,6 +57,7 @@
             silence_timeout: Duration::from_millis(450),
             silent_min_unanswered: 4,
             silence_evidence_ttl: Duration::from_millis(2_000),
+            silence_restart_gap: Duration::from_millis(3_000),
             alternative_alive_window: Duration::from_millis(300),
         }
     }
@@ -168,6 +172,19 @@
         (self.unanswered_flows > 0).then_some(self.unanswered_since)
     }
 
+    /// Returns the tracker without unanswered requests if the last one was found too long ago.
+    #[must_use]
+    pub fn without_expired_requests(
+        mut self,
+        options: &FailureDetectionOptions,
+        now: Duration,
+    ) -> Self {
+        if now.saturating_sub(self.last_unanswered_request) >= options.silence_restart_gap {
+            self.unanswered_requests = 0;
+        }
+        self
+    }
+
     /// Returns the number of unanswered requests if this host has found the last one recently.
     #[must_use]
     pub fn recent_unanswered_requests(
@@ -242,6 +259,7 @@
         now: Duration,
     ) -> bool {
         if sent_at > self.last_alive {
+            *self = self.without_expired_requests(options, now);
             let since = self.unanswered_requests_since().unwrap_or(sent_at);
             self.unanswered_requests_since = since.min(sent_at);
             self.unanswered_requests += 1;
