One lost request resets no other flow on the word of other hosts

What callers would see: open flows that are answered are reset at their next request, because other hosts report their upstream as silent (rightly, as behind their own partition, or not) and a single request of another flow at this host was lost. Cause: any one packet that the host itself had found unanswered in the last 2 s let it reset every idempotent flow of the upstream. Fix: other hosts' reports and one unanswered request let a host reset the flow that carries this request, and no other; to reset others at once, the host itself must have found four unanswered. Test: one_unanswered_request_resets_no_other_flow failed before (UpstreamSilent).

--- a/crates/mustardgrade-core/src/cookie/tests/evidence.rs
+++ b/crates/mustardgrade-core/src/cookie/tests/evidence.rs
@@ -203,6 +203,18 @@
     assert_eq!(routed_tag(&mut router, &request_to_1(9_001), ms(1_850)), 1);
 }
 
+/// Guards against resets of flows that are answered, when other hosts report their upstream and one
+/// request of this host is lost.
+#[test]
+fn one_unanswered_request_resets_no_other_flow() {
+    let mut router = router_with_two_upstreams();
+    leave_requests_unanswered(&mut router, &[1], DESK_ROUTE);
+    answer_from_2(&mut router, 1_650);
+    install_reports(&mut router, &[report_of_1(9, 640, u16::MAX)], 1_650);
+    assert_eq!(routed_tag(&mut router, &request_to_1(7), ms(1_650)), 1);
+    assert_eq!(router.route(&request_to_1(1), ms(1_650)), SILENT);
+}
+
 /// Guards against a reset by one lost request long after a partition, whose evidence no answer has
 /// ended because no flow was left to show one.
 #[test]
--- a/crates/mustardgrade-core/src/cookie/tracker.rs
+++ b/crates/mustardgrade-core/src/cookie/tracker.rs
@@ -341,10 +341,11 @@
         self
     }
 
-    /// Returns whether this host itself has recently found a request on an open flow to the
-    /// upstream, or to its unreachable data centre, unanswered.
+    /// Returns whether this host itself has recently found the requests of so many open flows to
+    /// the upstream, or to its unreachable data centre, unanswered that it may reset others.
     ///
-    /// Reports of other hosts may be wrong or outdated, so they do not suffice to break a flow.
+    /// Reports of other hosts may be wrong, so together with one lost request of this host they
+    /// suffice to reset only the flow that carries it.
     #[must_use]
     pub fn has_own_evidence(&self, options: &FailureDetectionOptions, now: Duration) -> bool {
         let presumed = match self.presumed_unanswered_flows {
@@ -352,7 +353,7 @@
             _ => self.presumed_own_requests,
         };
         let observed = self.recent_unanswered_requests(options, now);
-        observed.max(presumed) > 0
+        observed.max(presumed) >= options.silent_min_unanswered
     }
 
     /// Returns whether the upstream has been silent for so long, and on so many open flows, that
