Refuse an opening only if no other host can have opened its flow

The host answers a waiting opening, or a copy of one that went to another host, with no_room, no_upstream or no_route, while another transmission has opened the flow.

Cause: each transmission was judged alone. A host that stalls (a large manifest, too little processor time) leaves the rotation, callers' copies open their flows elsewhere, and when it goes on it counts the whole backlog as in flight and refuses what is left of it.

Ruled out: retransmissions of openings that this host has forwarded were never refused (they follow the first one). Refusals of first transmissions that did not wait are true and stay as fast as they were.

Mend: a host remembers for 2 s which openings it has refused. It resets only a transmission that waited for 150 ms at most (callers repeat after 200 ms) and of whose earlier ones it has seen and refused each. Otherwise silence, counted and logged as may_be_open. A transmission that comes after packets of its flow is dropped as already_open, told from a reused port by its sequence number: it was assigned anew before, and the second upstream's answer would have replaced the cookie. An idle traffic thread looks at its socket every 100 ms instead of 200 ms, so that waiting is known to 150 ms.

--- a/crates/mustardgrade-core/src/cookie/counters.rs
+++ b/crates/mustardgrade-core/src/cookie/counters.rs
@@ -23,6 +23,12 @@
     /// request, or has reset the flow itself.
     #[display("unreachable")]
     Unreachable,
+    /// The opening cannot be forwarded, but another transmission of it may have opened the flow.
+    #[display("may_be_open")]
+    MayBeOpen,
+    /// The opening arrived after packets of the flow that it has opened.
+    #[display("already_open")]
+    AlreadyOpen,
 }
 
 /// `ResetCause` is the reason why a reset was sent to a caller.
--- a/crates/mustardgrade-core/src/cookie/observed_flows.rs
+++ b/crates/mustardgrade-core/src/cookie/observed_flows.rs
@@ -8,6 +8,10 @@
 use super::flow_cookie::FlowCookie;
 use crate::flow::{FlowKey, FlowPacket};
 
+/// Distance up to which sequence numbers are taken for those of one flow, since each flow begins at
+/// a random one.
+const MAX_SEQUENCE_ADVANCE: u32 = 1 << 20;
+
 /// `FlowStage` is the connection state of a flow, inferred from the caller's packets.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -81,6 +85,13 @@
             is_counted_unanswered: false,
         }
     }
+
+    /// Returns whether the flow began with this opening, by the sequence numbers of both.
+    #[must_use]
+    pub fn continues_opening(&self, opening: &FlowPacket) -> bool {
+        let first_sequence = opening.sequence.wrapping_add(1);
+        self.next_sequence.wrapping_sub(first_sequence) < MAX_SEQUENCE_ADVANCE
+    }
 }
 
 /// `ObservedFlowTable` holds the observed flows of a host, up to a fixed capacity.
--- a/crates/mustardgrade-core/src/cookie/openings.rs
+++ b/crates/mustardgrade-core/src/cookie/openings.rs
@@ -10,6 +10,13 @@
 use super::snapshot::CookieSnapshot;
 use crate::flow::{FlowKey, FlowPacket};
 
+/// Time for which a refused opening is remembered; a caller's attempt ends sooner.
+const REFUSAL_RETENTION: Duration = Duration::from_secs(2);
+
+/// Time for which an opening may have waited at this host before a retransmission may have passed
+/// another one.
+const MAX_REFUSAL_DELAY: Duration = Duration::from_millis(150);
+
 /// `QueuedOpening` is a forwarded opening whose timeout has not been processed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct QueuedOpening {
@@ -20,6 +27,17 @@
     pub(super) is_delayed: bool,
 }
 
+/// `RefusedOpening` is an opening of which this host has received each transmission so far, and
+/// forwarded none.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct RefusedOpening {
+    /// Sequence number, which distinguishes the openings of one address.
+    sequence: u32,
+    /// Number of the latest retransmission.
+    retransmission: u32,
+    refused_at: Duration,
+}
+
 /// `PreviousUpstream` is the upstream of an earlier transmission of an opening.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct PreviousUpstream {
@@ -41,12 +59,16 @@
         // Callers number the retransmissions of an opening in its acknowledgement field.
         let retransmission = segment.acknowledgement;
         let Some(route) = snapshot.routes.get(&segment.key.service) else {
+            let verdict = self.refuse_opening(segment, ResetCause::NoRoute, now);
             // A manifest that adds the route may still arrive before the opening is retransmitted.
             return match retransmission {
                 0 => CookieVerdict::Drop(CookieDropCause::UnknownRoute),
-                _ => CookieVerdict::Reset(ResetCause::NoRoute),
+                _ => verdict,
             };
         };
+        if self.has_opened(segment) {
+            return CookieVerdict::Drop(CookieDropCause::AlreadyOpen);
+        }
         let previous = self.previous_upstream(snapshot, segment, retransmission, now);
         if let Some(previous) = previous.filter(|previous| previous.is_kept) {
             return self.forward_opening(snapshot, previous.index, segment, now);
@@ -71,8 +93,12 @@
             (PickOutcome::NoRoom | PickOutcome::NoUpstream, Some(index)) => {
                 return self.forward_opening(snapshot, index, segment, now);
             }
-            (PickOutcome::NoRoom, None) => return CookieVerdict::Reset(ResetCause::NoRoom),
-            (PickOutcome::NoUpstream, None) => return CookieVerdict::Reset(ResetCause::NoUpstream),
+            (PickOutcome::NoRoom, None) => {
+                return self.refuse_opening(segment, ResetCause::NoRoom, now);
+            }
+            (PickOutcome::NoUpstream, None) => {
+                return self.refuse_opening(segment, ResetCause::NoUpstream, now);
+            }
         };
         if picked.all_suspected {
             self.all_suspected_at = Some(now);
@@ -81,6 +107,65 @@
         self.forward_opening(snapshot, picked.index, segment, now)
     }
 
+    /// Returns whether the opening is a late transmission of that of an open flow. An entry of an
+    /// earlier flow from the same address is removed.
+    fn has_opened(&mut self, segment: &FlowPacket) -> bool {
+        let Some(flow) = self.flows.get(&segment.key) else { return false };
+        if flow.stage != FlowStage::Open {
+            return false;
+        }
+        let has_opened = flow.continues_opening(segment);
+        if !has_opened {
+            self.remove_flow(&segment.key);
+        }
+        has_opened
+    }
+
+    /// Returns the verdict on an opening that cannot be forwarded: a reset, unless another
+    /// transmission of it may have opened the flow through another host.
+    fn refuse_opening(
+        &mut self,
+        segment: &FlowPacket,
+        cause: ResetCause,
+        now: Duration,
+    ) -> CookieVerdict {
+        let knows_earlier_transmissions = self.note_refusal(segment, now);
+        let may_have_waited = now.saturating_sub(self.drained_at) > MAX_REFUSAL_DELAY;
+        match knows_earlier_transmissions && !may_have_waited {
+            true => CookieVerdict::Reset(cause),
+            false => CookieVerdict::Drop(CookieDropCause::MayBeOpen),
+        }
+    }
+
+    /// Remembers that a transmission of an opening is not forwarded; returns whether this host has
+    /// received all earlier ones, and forwarded none.
+    pub(super) fn note_refusal(&mut self, segment: &FlowPacket, now: Duration) -> bool {
+        let retransmission = segment.acknowledgement;
+        let known = self.refused_openings.get(&segment.key);
+        let latest = known
+            .filter(|refused| refused.sequence == segment.sequence)
+            .map(|refused| refused.retransmission);
+        if retransmission > latest.map_or(0, |latest| latest.saturating_add(1)) {
+            return false;
+        }
+        let refused = RefusedOpening {
+            sequence: segment.sequence,
+            retransmission: latest.unwrap_or_default().max(retransmission),
+            refused_at: now,
+        };
+        let has_room = self.refused_openings.len() < self.options.max_observed_flows;
+        if has_room || known.is_some() {
+            self.refused_openings.insert(segment.key, refused);
+        }
+        true
+    }
+
+    /// Forgets refused openings whose callers have given up.
+    pub(super) fn forget_refusals(&mut self, now: Duration) {
+        self.refused_openings
+            .retain(|_, refused| now.saturating_sub(refused.refused_at) <= REFUSAL_RETENTION);
+    }
+
     /// Counts and reports that an opening was assigned to an upstream, instead of `previous` if
     /// there was one.
     fn record_pick(
@@ -111,25 +196,20 @@
 
     /// Returns the upstream of an earlier transmission of the opening, if there was one.
     fn previous_upstream(
-        &mut self,
+        &self,
         snapshot: &CookieSnapshot,
         segment: &FlowPacket,
         retransmission: u32,
         now: Duration,
     ) -> Option<PreviousUpstream> {
         let flow = *self.flows.get(&segment.key)?;
-        if retransmission == 0 && flow.stage == FlowStage::Open {
-            self.remove_flow(&segment.key);
-            return None;
-        }
         let index = snapshot.upstream_index(flow.cookie)?;
         let view = &snapshot.upstreams[index];
         let tracker = &self.trackers[index];
         let is_alive = tracker.last_alive > flow.opened_at;
         // Both transmissions may have waited at this host together; the upstream had no time then.
         let is_early = self.is_delayed(now) && self.drained_at < flow.opened_at;
-        let keeps_upstream =
-            flow.stage == FlowStage::Open || retransmission == 0 || is_alive || is_early;
+        let keeps_upstream = retransmission == 0 || is_alive || is_early;
         Some(PreviousUpstream { index, is_kept: keeps_upstream && view.accepts_flows(now) })
     }
 
@@ -141,13 +221,7 @@
         now: Duration,
     ) -> CookieVerdict {
         let cookie = snapshot.upstreams[index].cookie;
-        let known = self.flows.get(&segment.key).copied();
-        if known.is_some_and(|flow| flow.stage == FlowStage::Open) {
-            return CookieVerdict::Forward { index, cookie };
-        }
-        if known.is_some() {
-            self.remove_flow(&segment.key);
-        }
+        self.remove_flow(&segment.key);
         if self.flows.insert(segment.key, ObservedFlow::opening(cookie, segment, now)) {
             self.trackers[index].record_opening(now);
             let is_delayed = self.is_delayed(now);
--- a/crates/mustardgrade-core/src/cookie/router.rs
+++ b/crates/mustardgrade-core/src/cookie/router.rs
@@ -12,7 +12,7 @@
 use super::load::{PeerLoad, PeerLoads};
 use super::observe::QueuedRequest;
 use super::observed_flows::{FlowStage, ObservedFlow, ObservedFlowTable};
-use super::openings::QueuedOpening;
+use super::openings::{QueuedOpening, RefusedOpening};
 use super::packet::{CookiePacket, CookieVerdict, FlowEvent};
 use super::picker::PickBuffers;
 use super::reachability::ReachabilityTable;
@@ -79,6 +79,7 @@
     pub(super) peer_loads: Vec<PeerLoad>,
     pub(super) flows: ObservedFlowTable,
     pub(super) opening_queue: VecDeque<QueuedOpening>,
+    pub(super) refused_openings: HashMap<FlowKey, RefusedOpening>,
     pub(super) request_queue: VecDeque<QueuedRequest>,
     pub(super) counters: CookieCounters,
     pub(super) events: Vec<FlowEvent>,
@@ -106,6 +107,7 @@
             peers: Arc::default(),
             peer_loads: Vec::new(),
             opening_queue: VecDeque::new(),
+            refused_openings: HashMap::new(),
             request_queue: VecDeque::new(),
             counters: CookieCounters::default(),
             events: Vec::new(),
@@ -180,7 +182,12 @@
     pub fn route(&mut self, packet: &CookiePacket, now: Duration) -> CookieVerdict {
         let snapshot = Arc::clone(&self.snapshot);
         let verdict = match snapshot.is_loaded {
-            false => CookieVerdict::Drop(CookieDropCause::NotLoaded),
+            false => {
+                if packet.segment.opens_flow() {
+                    self.note_refusal(&packet.segment, now);
+                }
+                CookieVerdict::Drop(CookieDropCause::NotLoaded)
+            }
             true if packet.segment.opens_flow() => self.route_opening(&snapshot, packet, now),
             true => self.route_established(&snapshot, packet, now),
         };
@@ -202,6 +209,7 @@
         if now.saturating_sub(self.last_expiry) >= EXPIRY_INTERVAL {
             self.last_expiry = now;
             self.expire_flows(now);
+            self.forget_refusals(now);
         }
     }
 
--- a/crates/mustardgrade-core/src/cookie/tests/mod.rs
+++ b/crates/mustardgrade-core/src/cookie/tests/mod.rs
@@ -4,6 +4,7 @@
 mod evidence;
 mod failure_detection;
 mod fixtures;
+mod late_openings;
 mod misrouting;
 mod overload;
 mod reachability;
--- a/crates/mustardgrade-node/src/cookie_host/traffic_thread.rs
+++ b/crates/mustardgrade-node/src/cookie_host/traffic_thread.rs
@@ -29,8 +29,9 @@
 const PENDING_READ_TIMEOUT: Duration = Duration::from_millis(40);
 
 /// Read timeout otherwise; also the maximum delay until a stop takes effect. The router takes a
-/// longer time without a drained socket for a stall of the host.
-const IDLE_READ_TIMEOUT: Duration = Duration::from_millis(200);
+/// longer time without a drained socket for a stall of the host, and refuses no openings in silence
+/// before that.
+const IDLE_READ_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Minimum interval between load reports.
 const LOAD_REPORT_INTERVAL: Duration = Duration::from_millis(50);
