An open flow stays with the upstream that holds it when another one answers late

Cause: two upstreams can answer one opening, since a copy is sent elsewhere by the same host (its first choice has not answered for 200 ms) or by another one (the fabric's set of hosts has changed). The caller acknowledges one, but its packets carry the last cookie that it received, and the other upstream's answer, or its retransmissions for seconds, may come later. The hosts followed the cookie alone.

Ruled out: cookies of a former run of the same upstream lead to the same place and stay as they are.

Mend: the caller's first packet after the opening acknowledges the upstream that holds the flow. A host that has received both in time, and then a packet whose acknowledgement continues there while its cookie names another upstream, forwards it to the holder with the holder's cookie. Its answer gives the caller the right cookie again; a host that is wrong for whatever reason corrects for 1 s only. Each flow's first correction is logged, all are counted (cookie_corrected).

Failed before: late_acceptance_by_another_upstream_does_not_lead_an_open_flow_there.

--- a/crates/mustardgrade-core/src/cookie/observe.rs
+++ b/crates/mustardgrade-core/src/cookie/observe.rs
@@ -62,6 +62,7 @@
     ) {
         let segment = &packet.segment;
         let known = self.flows.get(&segment.key).copied();
+        let is_follow_up = known.is_some_and(|flow| flow.is_followed_up_by(segment));
         let mut flow = match known {
             Some(flow) if flow.cookie == cookie => flow,
             Some(_) | None => {
@@ -81,6 +82,8 @@
         };
         let is_answered = flow.stage == FlowStage::Opening
             || segment.acknowledgement.wrapping_sub(flow.last_acknowledgement) as i32 > 0;
+        // After a delay, the flow may have been opened through another host.
+        flow.is_holder_observed |= is_follow_up && !self.is_delayed(now);
         if flow.stage == FlowStage::Opening {
             flow.stage = FlowStage::Open;
             self.push_answered(segment, AnswerStage::Opening, flow.opened_at, now);
--- a/crates/mustardgrade-core/src/cookie/observed_flows.rs
+++ b/crates/mustardgrade-core/src/cookie/observed_flows.rs
@@ -49,6 +49,11 @@
     pub is_counted_in_flight: bool,
     /// Whether the flow's pending request is counted as unanswered at its upstream.
     pub is_counted_unanswered: bool,
+    /// Whether this host has observed the first packet after the opening. Its cookie and its
+    /// acknowledgement come from the upstream that holds the flow.
+    pub is_holder_observed: bool,
+    /// Since when the caller's packets have carried the cookie of another upstream.
+    pub foreign_cookie_since: Option<Duration>,
 }
 
 impl ObservedFlow {
@@ -66,6 +71,8 @@
             request_sent_at: None,
             is_counted_in_flight: true,
             is_counted_unanswered: false,
+            is_holder_observed: false,
+            foreign_cookie_since: None,
         }
     }
 
@@ -83,6 +90,8 @@
             request_sent_at: None,
             is_counted_in_flight: false,
             is_counted_unanswered: false,
+            is_holder_observed: false,
+            foreign_cookie_since: None,
         }
     }
 
@@ -92,6 +101,20 @@
         let first_sequence = opening.sequence.wrapping_add(1);
         self.next_sequence.wrapping_sub(first_sequence) < MAX_SEQUENCE_ADVANCE
     }
+
+    /// Returns whether a packet is the first one of the caller after this flow's opening.
+    #[must_use]
+    pub(super) fn is_followed_up_by(&self, packet: &FlowPacket) -> bool {
+        self.stage == FlowStage::Opening && packet.sequence == self.next_sequence
+    }
+
+    /// Returns whether a packet acknowledges what the upstream that holds the flow has sent, and not
+    /// what another one has, by its sequence numbers.
+    #[must_use]
+    pub(super) fn is_held_for(&self, packet: &FlowPacket) -> bool {
+        let advance = packet.acknowledgement.wrapping_sub(self.last_acknowledgement);
+        self.is_holder_observed && advance < MAX_SEQUENCE_ADVANCE
+    }
 }
 
 /// `ObservedFlowTable` holds the observed flows of a host, up to a fixed capacity.
--- a/crates/mustardgrade-core/src/cookie/packet.rs
+++ b/crates/mustardgrade-core/src/cookie/packet.rs
@@ -76,6 +76,15 @@
         /// Cookie of the new upstream.
         to: FlowCookie,
     },
+    /// Packets of an open flow carry the cookie of an upstream other than the one that holds it.
+    CookieCorrected {
+        /// Addresses of the flow.
+        key: FlowKey,
+        /// Cookie of the packets.
+        from: FlowCookie,
+        /// Cookie of the upstream that holds the flow.
+        to: FlowCookie,
+    },
     /// A reset was sent to a caller.
     Reset {
         /// Addresses of the flow.
--- a/crates/mustardgrade-core/src/cookie/router.rs
+++ b/crates/mustardgrade-core/src/cookie/router.rs
@@ -29,6 +29,10 @@
 /// host. What such a packet shows of an upstream is out of date.
 const MAX_PACKET_DELAY: Duration = Duration::from_millis(250);
 
+/// Time for which a host corrects the cookies of a flow's packets. By then the upstream that holds it
+/// has answered, so that the caller returns its cookie again.
+const MAX_COOKIE_CORRECTION: Duration = Duration::from_secs(1);
+
 /// Idle timeout of flows if the manifest does not state one.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -252,7 +256,8 @@
                 false => CookieVerdict::Drop(CookieDropCause::UnknownRoute),
             };
         };
-        let Some(index) = snapshot.upstream_index(packet.cookie) else {
+        let cookie = self.holder_cookie(snapshot, packet, now);
+        let Some(index) = snapshot.upstream_index(cookie) else {
             return CookieVerdict::Drop(CookieDropCause::UnknownCookie);
         };
         let view = &snapshot.upstreams[index];
@@ -270,7 +275,37 @@
         if segment.closes_flow() {
             self.remove_flow(&segment.key);
         }
-        CookieVerdict::Forward { index, cookie: packet.cookie }
+        CookieVerdict::Forward { index, cookie }
+    }
+
+    /// Returns the cookie of the upstream that holds the flow of a packet.
+    ///
+    /// Two upstreams may have answered the opening's transmissions. A late answer of the one that does
+    /// not hold the flow replaces the cookie that the caller returns until the other one answers again.
+    fn holder_cookie(
+        &mut self,
+        snapshot: &CookieSnapshot,
+        packet: &CookiePacket,
+        now: Duration,
+    ) -> FlowCookie {
+        let key = packet.segment.key;
+        let Some(flow) = self.flows.get_mut(&key) else { return packet.cookie };
+        let holder = snapshot.upstream_index(flow.cookie);
+        if holder == snapshot.upstream_index(packet.cookie) {
+            flow.foreign_cookie_since = None;
+            return packet.cookie;
+        }
+        let since = flow.foreign_cookie_since.unwrap_or(now);
+        let is_corrected = now.saturating_sub(since) < MAX_COOKIE_CORRECTION;
+        if holder.is_none() || !flow.is_held_for(&packet.segment) || !is_corrected {
+            return packet.cookie;
+        }
+        self.counters.cookies_corrected += 1;
+        if flow.foreign_cookie_since.replace(since).is_none() {
+            let (from, to) = (packet.cookie, flow.cookie);
+            self.events.push(FlowEvent::CookieCorrected { key, from, to });
+        }
+        flow.cookie
     }
 
     /// Returns whether to reset an open flow so that its caller reconnects: the packet carries a
--- a/crates/mustardgrade-core/src/cookie/tests/misrouting.rs
+++ b/crates/mustardgrade-core/src/cookie/tests/misrouting.rs
@@ -241,3 +241,24 @@
     let verdict = router.route(&packet(7_000, 50), ms(7_100));
     assert_eq!(verdict, CookieVerdict::Reset(ResetCause::UpstreamGone));
 }
+
+/// Guards against packets of an open flow at another upstream whose late acceptance, of a copy of the
+/// opening, has replaced the cookie that the caller sends back.
+#[test]
+fn late_acceptance_by_another_upstream_does_not_lead_an_open_flow_there() {
+    let mut registry = TestRegistry::new();
+    registry.add_upstreams("desk", "a", 1..9);
+    let mut router = registry.router();
+    let key = flow_key(1, DESK_ROUTE);
+    let own_tag = routed_tag(&mut router, &syn_packet(key, 0), ms(10));
+    let own_cookie = cookie_of(&upstream_registration("desk", "a", own_tag));
+    let other_cookie = cookie_of(&upstream_registration("desk", "a", own_tag % 8 + 1));
+    router.route(&established_packet(key, own_cookie, 101, 5_001, 0), ms(20));
+    let request = established_packet(key, other_cookie, 101, 5_001, 200);
+    let verdict = router.route(&request, ms(900));
+    let CookieVerdict::Forward { index, cookie } = verdict else { panic!("{verdict:?}") };
+    assert_eq!((router.snapshot().upstreams[index].tag, cookie), (own_tag, own_cookie));
+    // Acknowledgements of another sequence are those of the other upstream's own flow.
+    let reopened = established_packet(key, other_cookie, 101, 9_005_001, 200);
+    assert_eq!(routed_tag(&mut router, &reopened, ms(910)), own_tag % 8 + 1);
+}
--- a/crates/mustardgrade-node/src/cookie_host/flow_log.rs
+++ b/crates/mustardgrade-node/src/cookie_host/flow_log.rs
@@ -41,7 +41,9 @@
     pub(super) fn write(&mut self, event: &FlowEvent, snapshot: &CookieSnapshot, now: Duration) {
         let limiter = match event {
             FlowEvent::Opened { .. } => &mut self.opened,
-            FlowEvent::Redirected { .. } => &mut self.redirected,
+            FlowEvent::Redirected { .. } | FlowEvent::CookieCorrected { .. } => {
+                &mut self.redirected
+            }
             FlowEvent::Reset {
                 cause: ResetCause::NoUpstream | ResetCause::NoRoom | ResetCause::NoRoute,
                 ..
@@ -74,6 +76,10 @@
                 flow = flow_id(key), key:% = key, from = upstream(*from), to = upstream(*to),
                 version, revision, omitted; "opening redirected"
             ),
+            FlowEvent::CookieCorrected { key, from, to } => log::info!(
+                flow = flow_id(key), key:% = key, from = upstream(*from), to = upstream(*to),
+                version, revision, omitted; "cookie corrected"
+            ),
             FlowEvent::Reset { key, cookie, cause } => log::info!(
                 flow = flow_id(key), key:% = key, upstream = upstream(*cookie), cause:% = cause,
                 version, revision, omitted; "flow reset"
--- a/crates/mustardgrade-node/src/metrics/registry.rs
+++ b/crates/mustardgrade-node/src/metrics/registry.rs
@@ -300,6 +300,11 @@
                 "Unanswered openings that the host itself had delayed",
                 cookie.openings_delayed,
             ),
+            (
+                "cookie_corrected",
+                "Packets whose cookie named another upstream than the one that holds the flow",
+                cookie.cookies_corrected,
+            ),
             (
                 "cookie_opened_cold",
                 "New flows assigned to a cold upstream",
