A dropped route ends only flows that the host saw while it had the route

Cause: any flow at an address whose route the host's own manifest had dropped was reset. While changes come in quick succession, or the store turns the host away, other hosts follow a newer manifest that has the route again, and the fabric directs flows opened by it to the host that is behind.

Ruled out: a manifest that is skipped or comes twice (changes are ordered by version), a host that has just started (it knows of no dropped route; unknown routes are met with silence).

Mend: the host resets a flow only if it has observed the flow, which it can only have while it had the route; the drop then concerns this flow. Others get silence until the host is up to date.

--- a/crates/mustardgrade-core/src/cookie/router.rs
+++ b/crates/mustardgrade-core/src/cookie/router.rs
@@ -251,7 +251,7 @@
     ) -> CookieVerdict {
         let segment = &packet.segment;
         let Some(route) = snapshot.routes.get(&segment.key.service) else {
-            return match snapshot.dropped_routes.contains(&segment.key.service) {
+            return match self.has_lost_route(snapshot, &segment.key) {
                 true => CookieVerdict::Reset(ResetCause::RouteDropped),
                 false => CookieVerdict::Drop(CookieDropCause::UnknownRoute),
             };
@@ -278,6 +278,14 @@
         CookieVerdict::Forward { index, cookie }
     }
 
+    /// Returns whether a manifest has dropped the route of a flow that was open before.
+    ///
+    /// Other hosts may follow a newer manifest that has the route again; what they have opened by it
+    /// is unknown here. A flow that this host has observed passed it while it had the route.
+    fn has_lost_route(&self, snapshot: &CookieSnapshot, key: &FlowKey) -> bool {
+        snapshot.dropped_routes.contains(&key.service) && self.flows.get(key).is_some()
+    }
+
     /// Returns the cookie of the upstream that holds the flow of a packet.
     ///
     /// Two upstreams may have answered the opening's transmissions. A late answer of the one that does
