--- a/crates/mustardgrade-core/src/cookie/counters.rs
+++ b/crates/mustardgrade-core/src/cookie/counters.rs
@@ -65,7 +65,7 @@
     pub flows_opened: u64,
     /// Retransmitted openings that were sent to a different upstream than the original.
     pub openings_redirected: u64,
-    /// Packets of open flows sent to the upstream that holds the flow instead of that of their cookie.
+    /// Packets of open flows sent to the upstream that holds the flow, not to that of their cookie.
     pub cookies_corrected: u64,
     /// Unanswered openings that are no evidence against their upstream, since they were delayed at
     /// this host itself.
--- a/crates/mustardgrade-core/src/cookie/observed_flows.rs
+++ b/crates/mustardgrade-core/src/cookie/observed_flows.rs
@@ -108,8 +108,8 @@
         self.stage == FlowStage::Opening && packet.sequence == self.next_sequence
     }
 
-    /// Returns whether a packet acknowledges what the upstream that holds the flow has sent, and not
-    /// what another one has, by its sequence numbers.
+    /// Returns whether a packet acknowledges what the upstream that holds the flow has sent, and
+    /// not what another one has, by its sequence numbers.
     #[must_use]
     pub(super) fn is_held_for(&self, packet: &FlowPacket) -> bool {
         let advance = packet.acknowledgement.wrapping_sub(self.last_acknowledgement);
--- a/crates/mustardgrade-core/src/cookie/router.rs
+++ b/crates/mustardgrade-core/src/cookie/router.rs
@@ -29,8 +29,8 @@
 /// host. What such a packet shows of an upstream is out of date.
 const MAX_PACKET_DELAY: Duration = Duration::from_millis(250);
 
-/// Time for which a host corrects the cookies of a flow's packets. By then the upstream that holds it
-/// has answered, so that the caller returns its cookie again.
+/// Time for which a host corrects the cookies of a flow's packets. By then the upstream that holds
+/// it has answered, so that the caller returns its cookie again.
 const MAX_COOKIE_CORRECTION: Duration = Duration::from_secs(1);
 
 /// Idle timeout of flows if the manifest does not state one.
@@ -280,16 +280,17 @@
 
     /// Returns whether a manifest has dropped the route of a flow that was open before.
     ///
-    /// Other hosts may follow a newer manifest that has the route again; what they have opened by it
-    /// is unknown here. A flow that this host has observed passed it while it had the route.
+    /// Other hosts may follow a newer manifest that has the route again; what they have opened by
+    /// it is unknown here. A flow that this host has observed passed it while it had the route.
     fn has_lost_route(&self, snapshot: &CookieSnapshot, key: &FlowKey) -> bool {
         snapshot.dropped_routes.contains(&key.service) && self.flows.get(key).is_some()
     }
 
     /// Returns the cookie of the upstream that holds the flow of a packet.
     ///
-    /// Two upstreams may have answered the opening's transmissions. A late answer of the one that does
-    /// not hold the flow replaces the cookie that the caller returns until the other one answers again.
+    /// Two upstreams may have answered the opening's transmissions. A late answer of the one that
+    /// does not hold the flow replaces the cookie that the caller returns, until the other one
+    /// answers again.
     fn holder_cookie(
         &mut self,
         snapshot: &CookieSnapshot,
--- a/crates/mustardgrade-core/src/cookie/tests/late_openings.rs
+++ b/crates/mustardgrade-core/src/cookie/tests/late_openings.rs
@@ -62,7 +62,7 @@
     assert_eq!(router.route(&syn_packet(archive_flow(), 1), ms(5_010)), SILENCE);
 }
 
-/// Guards against a second upstream that answers an open flow, whose late original comes afterwards.
+/// Guards against a second upstream that answers an open flow, since its original came late.
 #[test]
 fn original_opening_of_an_open_flow_is_not_assigned_again() {
     let mut registry = TestRegistry::new();
--- a/crates/mustardgrade-core/src/cookie/tests/misrouting.rs
+++ b/crates/mustardgrade-core/src/cookie/tests/misrouting.rs
@@ -242,8 +242,7 @@
     assert_eq!(verdict, CookieVerdict::Reset(ResetCause::UpstreamGone));
 }
 
-/// Guards against packets of an open flow at another upstream whose late acceptance, of a copy of the
-/// opening, has replaced the cookie that the caller sends back.
+/// Guards against packets of an open flow at another upstream, which has accepted a copy too late.
 #[test]
 fn late_acceptance_by_another_upstream_does_not_lead_an_open_flow_there() {
     let mut registry = TestRegistry::new();
