--- a/crates/mustardgrade-core/src/cookie/counters.rs
+++ b/crates/mustardgrade-core/src/cookie/counters.rs
@@ -23,6 +23,12 @@
     /// request, or has reset the flow itself.
     #[display("unreachable")]
     Unreachable,
+    /// The opening cannot be forwarded, but another transmission of it may have opened the flow.
+    #[display("may_be_open")]
+    MayBeOpen,
+    /// The opening arrived after packets of the flow that it has opened.
+    #[display("already_open")]
+    AlreadyOpen,
 }
 
 /// `ResetCause` is the reason why a reset was sent to a caller.
@@ -80,6 +86,8 @@
     pub flows_opened: u64,
     /// Retransmitted openings that were sent to a different upstream than the original.
     pub openings_redirected: u64,
+    /// Packets of open flows sent to the upstream that holds the flow, not to that of their cookie.
+    pub cookies_corrected: u64,
     /// Unanswered openings that are no evidence against their upstream, since they were delayed at
     /// this host itself.
     pub openings_delayed: u64,
--- a/crates/mustardgrade-core/src/cookie/observed_flows.rs
+++ b/crates/mustardgrade-core/src/cookie/observed_flows.rs
@@ -8,6 +8,10 @@
 use super::flow_cookie::FlowCookie;
 use crate::flow::{FlowKey, FlowPacket};
 
+/// Distance up to which sequence numbers are taken for those of one flow, since each flow begins at
+/// a random one.
+const MAX_SEQUENCE_ADVANCE: u32 = 1 << 20;
+
 /// `FlowStage` is the connection state of a flow, inferred from the caller's packets.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -45,6 +49,11 @@
     pub is_counted_in_flight: bool,
     /// Whether the flow's pending request is counted as unanswered at its upstream.
     pub is_counted_unanswered: bool,
+    /// Whether this host has observed the first packet after the opening. Its cookie and its
+    /// acknowledgement come from the upstream that holds the flow.
+    pub is_holder_observed: bool,
+    /// Since when the caller's packets have carried the cookie of another upstream.
+    pub foreign_cookie_since: Option<Duration>,
 }
 
 impl ObservedFlow {
@@ -62,6 +71,8 @@
             request_sent_at: None,
             is_counted_in_flight: true,
             is_counted_unanswered: false,
+            is_holder_observed: false,
+            foreign_cookie_since: None,
         }
     }
 
@@ -79,8 +90,31 @@
             request_sent_at: None,
             is_counted_in_flight: false,
             is_counted_unanswered: false,
+            is_holder_observed: false,
+            foreign_cookie_since: None,
         }
     }
+
+    /// Returns whether the flow began with this opening, by the sequence numbers of both.
+    #[must_use]
+    pub fn continues_opening(&self, opening: &FlowPacket) -> bool {
+        let first_sequence = opening.sequence.wrapping_add(1);
+        self.next_sequence.wrapping_sub(first_sequence) < MAX_SEQUENCE_ADVANCE
+    }
+
+    /// Returns whether a packet is the first one of the caller after this flow's opening.
+    #[must_use]
+    pub(super) fn is_followed_up_by(&self, packet: &FlowPacket) -> bool {
+        self.stage == FlowStage::Opening && packet.sequence == self.next_sequence
+    }
+
+    /// Returns whether a packet acknowledges what the upstream that holds the flow has sent, and
+    /// not what another one has, by its sequence numbers.
+    #[must_use]
+    pub(super) fn is_held_for(&self, packet: &FlowPacket) -> bool {
+        let advance = packet.acknowledgement.wrapping_sub(self.last_acknowledgement);
+        self.is_holder_observed && advance < MAX_SEQUENCE_ADVANCE
+    }
 }
 
 /// `ObservedFlowTable` holds the observed flows of a host, up to a fixed capacity.
--- a/crates/mustardgrade-core/src/cookie/router.rs
+++ b/crates/mustardgrade-core/src/cookie/router.rs
@@ -12,7 +12,7 @@
 use super::load::{PeerLoad, PeerLoads};
 use super::observe::QueuedRequest;
 use super::observed_flows::{FlowStage, ObservedFlow, ObservedFlowTable};
-use super::openings::QueuedOpening;
+use super::openings::{QueuedOpening, RefusedOpening};
 use super::packet::{CookiePacket, CookieVerdict, FlowEvent, ResetEvidence};
 use super::picker::PickBuffers;
 use super::reachability::ReachabilityTable;
@@ -29,6 +29,10 @@
 /// host. What such a packet shows of an upstream is out of date.
 const MAX_PACKET_DELAY: Duration = Duration::from_millis(250);
 
+/// Time for which a host corrects the cookies of a flow's packets. By then the upstream that holds
+/// it has answered, so that the caller returns its cookie again.
+const MAX_COOKIE_CORRECTION: Duration = Duration::from_secs(1);
+
 /// Idle timeout of flows if the manifest does not state one.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -79,6 +83,7 @@
     pub(super) peer_loads: Vec<PeerLoad>,
     pub(super) flows: ObservedFlowTable,
     pub(super) opening_queue: VecDeque<QueuedOpening>,
+    pub(super) refused_openings: HashMap<FlowKey, RefusedOpening>,
     pub(super) request_queue: VecDeque<QueuedRequest>,
     pub(super) counters: CookieCounters,
     pub(super) events: Vec<FlowEvent>,
@@ -106,6 +111,7 @@
             peers: Arc::default(),
             peer_loads: Vec::new(),
             opening_queue: VecDeque::new(),
+            refused_openings: HashMap::new(),
             request_queue: VecDeque::new(),
             counters: CookieCounters::default(),
             events: Vec::new(),
@@ -180,7 +186,12 @@
     pub fn route(&mut self, packet: &CookiePacket, now: Duration) -> CookieVerdict {
         let snapshot = Arc::clone(&self.snapshot);
         let verdict = match snapshot.is_loaded {
-            false => CookieVerdict::Drop(CookieDropCause::NotLoaded),
+            false => {
+                if packet.segment.opens_flow() {
+                    self.note_refusal(&packet.segment, now);
+                }
+                CookieVerdict::Drop(CookieDropCause::NotLoaded)
+            }
             true if packet.segment.opens_flow() => self.route_opening(&snapshot, packet, now),
             true => self.route_established(&snapshot, packet, now),
         };
@@ -202,6 +213,7 @@
         if now.saturating_sub(self.last_expiry) >= EXPIRY_INTERVAL {
             self.last_expiry = now;
             self.expire_flows(now);
+            self.forget_refusals(now);
         }
     }
 
@@ -252,12 +264,13 @@
     ) -> CookieVerdict {
         let segment = &packet.segment;
         let Some(route) = snapshot.routes.get(&segment.key.service) else {
-            return match snapshot.dropped_routes.contains(&segment.key.service) {
+            return match self.has_lost_route(snapshot, &segment.key) {
                 true => CookieVerdict::Reset(ResetCause::RouteDropped),
                 false => CookieVerdict::Drop(CookieDropCause::UnknownRoute),
             };
         };
-        let Some(index) = snapshot.upstream_index(packet.cookie) else {
+        let cookie = self.holder_cookie(snapshot, packet, now);
+        let Some(index) = snapshot.upstream_index(cookie) else {
             return CookieVerdict::Drop(CookieDropCause::UnknownCookie);
         };
         let view = &snapshot.upstreams[index];
@@ -275,7 +288,46 @@
         if segment.closes_flow() {
             self.remove_flow(&segment.key);
         }
-        CookieVerdict::Forward { index, cookie: packet.cookie }
+        CookieVerdict::Forward { index, cookie }
+    }
+
+    /// Returns whether a manifest has dropped the route of a flow that was open before.
+    ///
+    /// Other hosts may follow a newer manifest that has the route again; what they have opened by
+    /// it is unknown here. A flow that this host has observed passed it while it had the route.
+    fn has_lost_route(&self, snapshot: &CookieSnapshot, key: &FlowKey) -> bool {
+        snapshot.dropped_routes.contains(&key.service) && self.flows.get(key).is_some()
+    }
+
+    /// Returns the cookie of the upstream that holds the flow of a packet.
+    ///
+    /// Two upstreams may have answered the opening's transmissions. A late answer of the one that
+    /// does not hold the flow replaces the cookie that the caller returns, until the other one
+    /// answers again.
+    fn holder_cookie(
+        &mut self,
+        snapshot: &CookieSnapshot,
+        packet: &CookiePacket,
+        now: Duration,
+    ) -> FlowCookie {
+        let key = packet.segment.key;
+        let Some(flow) = self.flows.get_mut(&key) else { return packet.cookie };
+        let holder = snapshot.upstream_index(flow.cookie);
+        if holder == snapshot.upstream_index(packet.cookie) {
+            flow.foreign_cookie_since = None;
+            return packet.cookie;
+        }
+        let since = flow.foreign_cookie_since.unwrap_or(now);
+        let is_corrected = now.saturating_sub(since) < MAX_COOKIE_CORRECTION;
+        if holder.is_none() || !flow.is_held_for(&packet.segment) || !is_corrected {
+            return packet.cookie;
+        }
+        self.counters.cookies_corrected += 1;
+        if flow.foreign_cookie_since.replace(since).is_none() {
+            let (from, to) = (packet.cookie, flow.cookie);
+            self.events.push(FlowEvent::CookieCorrected { key, from, to });
+        }
+        flow.cookie
     }
 
     /// Returns whether to reset an open flow so that its caller reconnects: the packet carries a
--- a/crates/mustardgrade-node/src/cookie_host/flow_log.rs
+++ b/crates/mustardgrade-node/src/cookie_host/flow_log.rs
@@ -41,7 +41,9 @@
     pub(super) fn write(&mut self, event: &FlowEvent, snapshot: &CookieSnapshot, now: Duration) {
         let limiter = match event {
             FlowEvent::Opened { .. } => &mut self.opened,
-            FlowEvent::Redirected { .. } => &mut self.redirected,
+            FlowEvent::Redirected { .. } | FlowEvent::CookieCorrected { .. } => {
+                &mut self.redirected
+            }
             FlowEvent::Reset { cause, .. } if cause.ends_open_flow() => &mut self.reset,
             FlowEvent::Reset { .. } => &mut self.refused,
             FlowEvent::Suspected { .. } | FlowEvent::Recovered { .. } => &mut self.liveness,
@@ -81,6 +83,10 @@
                 gone_ms = millis(evidence.gone_for),
                 version, revision, omitted; "flow reset"
             ),
+            FlowEvent::CookieCorrected { key, from, to } => log::info!(
+                flow = flow_id(key), key:% = key, from = upstream(*from), to = upstream(*to),
+                version, revision, omitted; "cookie corrected"
+            ),
             FlowEvent::Reset { key, cookie, cause, evidence: None } => log::info!(
                 flow = flow_id(key), key:% = key, upstream = upstream(*cookie), cause:% = cause,
                 version, revision, omitted; "flow reset"
