Registry: open flows of a lapsed upstream go on while its return is put off

Cause: a deferral says that the return is not known, but the departure was carried out in full. Only new flows have to wait for certainty; the end of an open flow cannot be taken back.

Ruled out as a mend: a longer time of grace or a shorter deferral. Hosts enter an epoch at different times, and each deferral runs from there.

Change: as long as the registration that is put off is of the run that was removed, the upstream does not count as gone; it gets no new flows, as before.

Test: lapsed_upstream_that_a_restored_store_holds_keeps_its_open_flows, failed before.

--- a/crates/mustardgrade-core/src/cookie/snapshot.rs
+++ b/crates/mustardgrade-core/src/cookie/snapshot.rs
@@ -150,7 +150,11 @@
     let evacuated = evacuated_data_centres(registry);
     let mut upstreams: Vec<UpstreamView> = registry
         .entries()
-        .filter_map(|(_, entry)| upstream_view(entry, manifest, context, &evacuated))
+        .filter_map(|(key, entry)| {
+            let view = upstream_view(entry, manifest, context, &evacuated)?;
+            let gone_at = view.gone_at.filter(|_| !registry.may_have_returned(key));
+            Some(UpstreamView { gone_at, ..view })
+        })
         .collect();
     upstreams.sort_by_key(|view| (view.service, view.tag));
     close_superseded_upstreams(&mut upstreams);
--- a/crates/mustardgrade-core/src/registry/table.rs
+++ b/crates/mustardgrade-core/src/registry/table.rs
@@ -174,6 +174,18 @@
         self.entries.get(key)
     }
 
+    /// Returns whether a restored store holds the last run of a removed upstream, which does not take
+    /// effect yet: whether the upstream has returned or is a remainder of the copy is not known.
+    #[must_use]
+    pub fn may_have_returned(&self, key: &RegistryKey) -> bool {
+        let Some(deferred) = self.deferred_changes.get(key) else { return false };
+        let RegistryValue::Upstream(registration) = &deferred.change.value else { return false };
+        self.entries
+            .get(key)
+            .and_then(|entry| entry.previous_registration.as_ref())
+            .is_some_and(|previous| previous.incarnation == registration.incarnation)
+    }
+
     /// Returns whether the table has a change of the same key that is as new, or newer.
     ///
     /// Manifests are ordered by version first: a restored store may hold an older one for a while.
--- a/crates/mustardgrade-core/src/watch/replication.rs
+++ b/crates/mustardgrade-core/src/watch/replication.rs
@@ -259,7 +259,7 @@
         self.store_recovered_at.is_some_and(|at| now.saturating_sub(at) < SPURIOUS_REMOVAL_WINDOW)
     }
 
-    /// Applies a batch; returns true if an entry or the host's state changed.
+    /// Applies a batch; returns true if an entry, its deferred change or the host's state changed.
     pub(super) fn apply_batch(
         &mut self,
         batch: &ChangeBatch,
@@ -283,6 +283,8 @@
                     let (key, position) = (change.key.clone(), change.position);
                     let event = WatchEvent::ChangeDeferred { key, position };
                     outputs.push(WatchOutput::Event(event));
+                    // An upstream that may have returned no longer counts as gone.
+                    changed = true;
                     continue;
                 }
                 ApplyOutcome::Applied => {}
--- a/crates/mustardgrade-core/src/watch/tests/restore.rs
+++ b/crates/mustardgrade-core/src/watch/tests/restore.rs
@@ -183,6 +183,32 @@
     assert_eq!(in_force(&controller), Some(&again.value));
 }
 
+/// Guards against resets by a host that enters an epoch only after lapsed upstreams have registered
+/// again, or of upstreams that lapsed after the copy and whose next reports change nothing in it.
+#[test]
+fn lapsed_upstream_that_a_restored_store_holds_keeps_its_open_flows() {
+    let ready = registration(RegisteredState::Ready, 1);
+    let mut controller =
+        watching_controller(vec![manifest(3, 2), at_position(1, 4, ready.clone())]);
+    let mut lapsed = at_position(1, 10, ready.clone());
+    lapsed.value = RegistryValue::Removed { possibly_spurious: false };
+    let batch =
+        ChangeBatch { after: position(1, 9), through: position(1, 10), changes: vec![lapsed] };
+    handle_at(&mut controller, WatchInput::Changes { from: PEER, batch: Some(batch) }, 100);
+    let is_gone = |controller: &WatchController, now_ms| {
+        controller.snapshot().upstreams[0].is_gone(Duration::from_millis(now_ms))
+    };
+    assert!(is_gone(&controller, 3_000));
+    let batch = complete_batch_at(position(2, 9), vec![at_position(2, 8, ready)]);
+    let input = WatchInput::Changes { from: PEER, batch: Some(batch) };
+    let outputs = handle_at(&mut controller, input, 3_000);
+    assert!(outputs.contains(&WatchOutput::InstallSnapshot));
+    assert!(!is_gone(&controller, 6_900));
+    // Whether it is back is not known yet, so it gets no new flows.
+    let now = Duration::from_millis(6_900);
+    assert!(!controller.snapshot().upstreams[0].accepts_flows(now));
+}
+
 #[test]
 fn later_run_that_a_restored_store_does_not_know_is_not_replaced_by_the_earlier() {
     let later = at_position(1, 9, registration(RegisteredState::Ready, 8));
