--- a/crates/mustardgrade-standin/src/fleet/tests/restores.rs
+++ b/crates/mustardgrade-standin/src/fleet/tests/restores.rs
@@ -22,7 +22,10 @@
 /// Time after the store's return until its writers have repeated what it lost.
 const REPEAT_SECS: f64 = 2.0;
 
-/// Number of the upstream that drains.
+/// Time after a disturbance from which no open flow of a living upstream may be ended.
+const STABILITY_SECS: f64 = 4.0;
+
+/// Number of the upstream that drains or lapses.
 const DRAINING_TAG: u64 = 3;
 
 impl FleetSimulation {
@@ -59,6 +62,17 @@
         }
     }
 
+    /// Returns whether any running host ends the open flows of an upstream.
+    fn counts_as_gone_anywhere(&self, tag: u64) -> bool {
+        all_hosts(self).into_iter().any(|host| {
+            let snapshot = self.controller(host).map(|controller| controller.snapshot());
+            snapshot.is_some_and(|snapshot| {
+                let mut views = snapshot.upstreams.iter();
+                views.any(|view| view.tag == tag && view.is_gone(self.now))
+            })
+        })
+    }
+
     /// Returns whether any running host offers new flows to an upstream.
     fn any_host_offers(&self, tag: u64) -> bool {
         all_hosts(self).into_iter().any(|host| {
@@ -219,3 +233,26 @@
         assert!(calls <= 18, "seed {seed}: {calls} store calls in 6 s");
     }
 }
+
+/// Guards against resets of an upstream that lapsed behind a cut and is registered again before all
+/// hosts have entered the restored store's epoch.
+#[test]
+fn upstream_that_lapsed_and_returned_across_a_restore_keeps_its_open_flows() {
+    for seed in 0..SEED_COUNT {
+        let mut sim = FleetSimulation::with_changes_after_the_copy(seed);
+        sim.partitions.extend([(0, 1), (0, 2)]);
+        sim.reject_store_calls_of(0);
+        let key = RegistryKey::Upstream(format!("i-{DRAINING_TAG:x}"));
+        sim.write_entry(key, RegistryValue::Removed { possibly_spurious: false });
+        sim.advance(secs(3.0));
+        sim.restore_before_manifest_2();
+        sim.register_test_upstream(DRAINING_TAG, RegisteredState::Ready);
+        sim.advance(secs(0.3 * seed as f64));
+        sim.heal_partition(0);
+        sim.advance(secs(STABILITY_SECS));
+        for _ in 0..20 {
+            assert!(!sim.counts_as_gone_anywhere(DRAINING_TAG), "seed {seed}: {:?}", sim.now);
+            sim.advance(secs(0.1));
+        }
+    }
+}
