A missing entry alone resets no open flow

What callers saw: open flows of living upstreams reset by hosts in touch, cause=upstream_gone, 7 to 12 s after a data centre had been cut off and the store had come back from a copy.

Cause: the host took the absence of an entry for the end of its upstream. A host ends a flow at the first packet 2.5 s after it has heard of the removal, unless it has itself seen an answer since; an idle flow cannot have shown one. Class: absence of knowledge used as evidence.

Ruled out: a registration that hosts put off (no `change deferred` in the logs, and no such item in the replies); a watch that misses changes (revisions 67 to 74 are accounted for); silence (no upstream_silent).

Under a fabric that sprays packets the old rule stays, since a host rarely sees retransmissions there.

--- a/crates/mustardgrade-core/src/cookie/router.rs
+++ b/crates/mustardgrade-core/src/cookie/router.rs
@@ -278,7 +278,7 @@
             return CookieVerdict::Drop(CookieDropCause::ForeignCookie);
         }
         self.observe_segment(index, packet, view.cookie, now);
-        if view.is_gone(now) && !self.has_answered_since_removal(index) {
+        if view.is_gone(now) && self.is_gone_for_open_flows(index, &segment.key, now) {
             return self.end_gone_flow(route, segment);
         }
         if self.should_reset_silent(snapshot, route, index, segment, now) {
@@ -365,11 +365,25 @@
         alternatives.filter(is_alive).count() >= 1
     }
 
-    /// Returns whether an upstream has answered since it counts as gone. Its entry then lapsed while
-    /// the upstream was cut off from the store, and it will register again.
-    fn has_answered_since_removal(&self, index: usize) -> bool {
-        let gone_at = self.snapshot.upstreams[index].gone_at;
-        gone_at.is_some_and(|gone_at| self.trackers[index].last_alive > gone_at)
+    /// Returns whether an open flow of an upstream that has no entry may be ended: this host has
+    /// found a request to the upstream unanswered.
+    ///
+    /// The entry alone does not show it: an upstream that was cut off from the store, or that a
+    /// restored store has lost, may answer all the while. With a fabric that sprays packets, a host
+    /// rarely sees the retransmissions of a flow, so no answer since the removal has to do.
+    fn is_gone_for_open_flows(&self, index: usize, key: &FlowKey, now: Duration) -> bool {
+        let options = &self.options.failure_detection;
+        let own = self.trackers[index].without_expired_requests(options, now);
+        let of_all_hosts = own.merged_with_peers(self.peer_loads[index]);
+        let gone_at = self.snapshot.upstreams[index].gone_at.unwrap_or(Duration::MAX);
+        match self.options.fabric {
+            FabricKind::Any => of_all_hosts.last_alive <= gone_at,
+            FabricKind::Hash => {
+                let has_evidence = own.recent_unanswered_requests(options, now) > 0
+                    || self.flows.get(key).is_some_and(|flow| flow.is_counted_unanswered);
+                has_evidence && of_all_hosts.has_lasting_unanswered_request(options, now)
+            }
+        }
     }
 
     /// Ends a flow whose upstream is gone; the caller gets a reset only if it can safely repeat its
--- a/crates/mustardgrade-core/src/cookie/tracker.rs
+++ b/crates/mustardgrade-core/src/cookie/tracker.rs
@@ -371,6 +371,18 @@
         (observed || presumed) && has_lasted(self.last_alive)
     }
 
+    /// Returns whether a request on an open flow has been unanswered, and the upstream silent, for
+    /// as long as answers may take.
+    #[must_use]
+    pub fn has_lasting_unanswered_request(
+        &self,
+        options: &FailureDetectionOptions,
+        now: Duration,
+    ) -> bool {
+        let has_lasted = |since| now.saturating_sub(since) >= options.silence_timeout;
+        self.unanswered_requests_since().is_some_and(has_lasted) && has_lasted(self.last_alive)
+    }
+
     /// Returns the requests in flight, including pending openings, each of which will soon bring
     /// one.
     #[must_use]
