Openings that went beyond a partition are placed anew when sent again

Callers saw: a flow opened within 2 s of a cut never opened.

Cause: owner and replica record an opening when they forward it, before they know of the cut. From then on the record binds every copy of the SYN, although nothing has answered it. Ruled out: the substitute upstream and its agreement; both were right for every flow that had no record yet.

Now a record binds an opening segment only while its upstream is reachable: it accepts packets and no partition is in between. Otherwise the owner places the opening as that of a new flow, drops its old record, and the replica by the same rule replaces its own. A SYN that is sent again has had no answer, so no upstream loses a flow. The same cause acted where the recorded upstream is gone: such a SYN was dropped as no_upstream until the record went. Answers to openings would leave the first upstream in the flow tables of hosts that asked; an opening is no longer answered, its first data segment is.

--- a/crates/mustardgrade-core/src/flow/owner.rs
+++ b/crates/mustardgrade-core/src/flow/owner.rs
@@ -5,9 +5,9 @@
 
 use super::counters::DropCause;
 use super::messages::{AddressedUpdate, BindingUpdate, HopHeader, HopStage, UpdateKind};
-use super::records::BindingRecord;
+use super::records::{BindingRecord, RecordTable};
 use super::router::{AnswerRateLimiter, FlowRouter, FlowVerdict, PacketContext};
-use super::snapshot::{OwnerEligibility, RoutingSnapshot};
+use super::snapshot::{OwnerEligibility, RoutingSnapshot, UpstreamRoute};
 use crate::identity::{HostId, ServiceId};
 use crate::placement::BucketIndex;
 
@@ -68,7 +68,7 @@
     ) -> FlowVerdict {
         let service = context.route.service;
         let opens_flow = context.packet.opens_flow();
-        let recorded = self.records.get(service, context.fingerprint);
+        let recorded = binding_of(&self.records, context);
         if let Some(upstream) = recorded.filter(|_| !opens_flow) {
             let claim_is_wrong = claim.is_some_and(|claimed| claimed != upstream);
             self.answer_asking_host(context, &hop, upstream, claim_is_wrong);
@@ -85,7 +85,7 @@
             let header = HopHeader { hops: hop.hops + 1, sender: self.local_host, ..hop };
             return self.forward_to_host(context, &snapshot, chain.owner, header);
         }
-        let assigned = recorded.or_else(|| self.openings.get(service, context.fingerprint));
+        let assigned = recorded.or_else(|| binding_of(&self.openings, context));
         let upstream = match assigned {
             Some(upstream) => upstream,
             None if opens_flow => context.placement.upstream_for_new_flow(),
@@ -103,6 +103,10 @@
             return self.deliver_to_upstream(context, upstream);
         };
         if opens_flow {
+            if recorded.is_none() {
+                // A record that does not bind the opening must not outlive it either.
+                self.records.remove(service, context.fingerprint);
+            }
             // The packet itself carries the new record to the replica. If the packet is lost, the
             // flow has not reached an upstream either, so no record is missing.
             let record = BindingRecord { fingerprint: context.fingerprint, upstream };
@@ -126,7 +130,8 @@
     ///
     /// An existing record of the replica is older than the owner's decision. It therefore takes
     /// precedence and is sent to the owner as a correction. So does an opening that this host has
-    /// placed as the owner by its own view of the hosts.
+    /// placed as the owner by its own view of the hosts. Neither binds an opening segment whose
+    /// upstream cannot be reached.
     pub(super) fn route_as_replica(
         &mut self,
         context: PacketContext<'_>,
@@ -134,8 +139,8 @@
         assigned_upstream: u16,
     ) -> FlowVerdict {
         let service = context.route.service;
-        let recorded = self.records.get(service, context.fingerprint);
-        let placed = recorded.or_else(|| self.openings.get(service, context.fingerprint));
+        let recorded = binding_of(&self.records, context);
+        let placed = recorded.or_else(|| binding_of(&self.openings, context));
         let upstream = placed.unwrap_or(assigned_upstream);
         if recorded.is_none() {
             self.openings.remove(service, context.fingerprint);
@@ -180,6 +185,9 @@
 
     /// Sends the upstream of a flow to the asking host, subject to the rate limit unless
     /// `bypass_limit` is set.
+    ///
+    /// An opening segment is not answered: sent again, it may be placed on another upstream, and
+    /// hosts that were answered before would not learn of it.
     pub(super) fn answer_asking_host(
         &mut self,
         context: PacketContext<'_>,
@@ -187,7 +195,9 @@
         upstream: u16,
         bypass_limit: bool,
     ) {
-        if hop.asker != self.local_host && (bypass_limit || self.allow_answer(context.now)) {
+        let may_change = context.packet.opens_flow();
+        let is_asked_by_peer = hop.asker != self.local_host && !may_change;
+        if is_asked_by_peer && (bypass_limit || self.allow_answer(context.now)) {
             self.counters.answers_sent += 1;
             self.queue_update(context, hop.asker, hop.asker_lane, upstream, UpdateKind::Answer);
         }
@@ -223,3 +233,14 @@
         self.answer_limiter.attempts <= self.options.max_answers_per_second
     }
 }
+
+/// Returns the upstream that a table binds the flow of a packet to.
+///
+/// An opening segment that is sent again has not been answered. It is therefore bound only while
+/// its upstream can be reached; otherwise the flow would never open.
+fn binding_of(table: &RecordTable, context: PacketContext<'_>) -> Option<u16> {
+    let upstream = table.get(context.route.service, context.fingerprint)?;
+    let is_bound = !context.packet.opens_flow()
+        || context.route.upstream(upstream).is_some_and(UpstreamRoute::is_reachable);
+    is_bound.then_some(upstream)
+}
--- a/crates/mustardgrade-core/src/flow/snapshot.rs
+++ b/crates/mustardgrade-core/src/flow/snapshot.rs
@@ -52,6 +52,15 @@
     pub is_partitioned: bool,
 }
 
+impl UpstreamRoute {
+    /// Returns whether packets from this host can arrive there: it accepts them, and no partition
+    /// separates it from this host.
+    #[must_use]
+    pub fn is_reachable(&self) -> bool {
+        self.accepts_packets && !self.is_partitioned
+    }
+}
+
 /// `ServiceRoute` is the routing information of a flow service.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ServiceRoute {
--- a/crates/mustardgrade-core/src/flow/tests.rs
+++ b/crates/mustardgrade-core/src/flow/tests.rs
@@ -262,6 +262,34 @@
     assert!(matches!(verdict, FlowVerdict::Tunnel { upstream, .. } if upstream == expected));
 }
 
+/// Builds the snapshot of a side that a partition separates from upstream 1.
+fn snapshot_cut_off_from_upstream_1(placement: BucketPlacement) -> Arc<RoutingSnapshot> {
+    let mut snapshot = (*snapshot(placement, 1)).clone();
+    let upstream = &mut snapshot.services[0].upstreams[1];
+    (upstream.is_partitioned, upstream.accepts_new_flows) = (true, false);
+    Arc::new(snapshot)
+}
+
+#[test]
+fn opening_that_went_to_an_upstream_beyond_a_partition_is_placed_anew_when_sent_again() {
+    let mut routers = routers(collecting_placement());
+    let first = route_to_end(&mut routers, 0, packet(1, true));
+    deliver_updates(&mut routers);
+    let on_this_side = BucketPlacement { target_upstream: 0, ..collecting_placement() };
+    for router in &mut routers {
+        router.install(snapshot_cut_off_from_upstream_1(on_this_side));
+    }
+    let sent_again = route_to_end(&mut routers, 0, packet(1, true));
+    deliver_updates(&mut routers);
+    for router in &mut routers {
+        router.install(snapshot(collecting_placement(), 2));
+    }
+    let after_it = [0, 1].map(|at| route_to_end(&mut routers, at, packet(1, false)));
+    assert!(first.ends_with("upstream 1"), "{first}");
+    assert!(sent_again.ends_with("upstream 0"), "{sent_again}");
+    assert!(after_it.iter().all(|path| path.ends_with("upstream 0")), "{after_it:?}");
+}
+
 #[test]
 fn bucket_exceptions_are_declined_by_a_host_that_may_lack_records() {
     let mut routers = routers(collecting_placement());
