A flow-table entry of an opening alone no longer names the upstream across a guard

Cause, as traced: the first SYN (45.36 s) went by a steady bucket to an upstream beyond the cut and left an entry in the flow table of that host. The bucket was guarded, the SYN sent again and placed on another upstream. At 65.44 s, after the guard and while the host was fenced, it took the entry of the earlier guard epoch as confirmed. Ruled out: the fence (it was up), and the owner's record (it was right).

Now an entry of an earlier epoch is ignored if this host has seen only the opening, and the packet asks the owner. A delivered data segment ends that state; before, steady buckets never ended it, so that established flows could be evicted from the flow table as openings.

The test fails without the change.

--- a/crates/mustardgrade-core/src/flow/router.rs
+++ b/crates/mustardgrade-core/src/flow/router.rs
@@ -333,7 +333,10 @@
     }
 
     /// Looks a flow up in the flow table; an entry of an earlier guard epoch needs confirmation by
-    /// the owner, or is ignored if it names another upstream than the source of the move.
+    /// the owner.
+    ///
+    /// Such an entry is ignored if this host has seen only the opening of the flow, or if it names
+    /// another upstream than the source of the move.
     pub(super) fn look_up_flow(
         &mut self,
         context: PacketContext<'_>,
@@ -346,6 +349,10 @@
         let Some(entry) = self.flow_table.touch(context.fingerprint, context.now) else {
             return FlowLookup::Unknown;
         };
+        if entry.is_opening && entry.guard_epoch != epoch {
+            // The opening may have been lost beyond this host, sent again, and placed anew.
+            return FlowLookup::Unknown;
+        }
         entry.is_opening = false;
         let upstream = entry.upstream;
         if entry.guard_epoch == epoch || is_fenced && !context.placement.phase.is_guarded() {
@@ -411,6 +418,7 @@
         if let Some(entry) = self.flow_table.touch(context.fingerprint, context.now) {
             entry.upstream = upstream;
             entry.guard_epoch = epoch;
+            entry.is_opening &= context.packet.opens_flow();
             return;
         }
         self.insert_flow(
--- a/crates/mustardgrade-core/src/flow/tests.rs
+++ b/crates/mustardgrade-core/src/flow/tests.rs
@@ -290,6 +290,18 @@
     assert!(after_it.iter().all(|path| path.ends_with("upstream 0")), "{after_it:?}");
 }
 
+#[test]
+fn opening_from_before_a_guard_does_not_tell_a_fenced_host_the_upstream() {
+    let [mut host, _] = routers(BucketPlacement::steady(0));
+    let opened = host.route(&packet(1, true), NOW);
+    host.install(snapshot(collecting_placement(), 2));
+    host.install(snapshot(BucketPlacement::steady(0), 3));
+    host.set_tables_confirmed_at(Duration::ZERO);
+    let after_the_guard = host.route(&packet(1, false), NOW);
+    assert!(matches!(opened, FlowVerdict::Tunnel { .. }), "{opened:?}");
+    assert!(matches!(after_the_guard, FlowVerdict::Hop { .. }), "{after_the_guard:?}");
+}
+
 #[test]
 fn bucket_exceptions_are_declined_by_a_host_that_may_lack_records() {
     let mut routers = routers(collecting_placement());
