Hosts that take over from a cut-off owner chain no longer guess, and take reports

Callers saw: flows of moving buckets broke up to 11 s after healing, at the upstream that the bucket moves from, or got nothing through during the cut although caller and upstream were on one side.

When they fell silent, hosts on the caller's side became the owner chain. They have no records, and took a flow without a record for one of the source. They recorded that, and answered it to every host that asked. A host that had the true answer in its flow table never told them, since an entry of the current guard epoch needs no report. Ruled out: the records beyond the cut, which were right, and their transfer after healing, which keeps them.

Now a new epoch starts when the whole owner chain of a guarded bucket is replaced: every host reports each flow to the new chain once, also one that an earlier chain of the same guard placed on another upstream than the source. An owner looks into its own flow table too. If nothing is known and the presumed upstream is beyond the partition, the owner drops the packet (records_missing), which could not have arrived, instead of recording a guess. Unlike a lasting mark on the hosts, the epoch also covers the way back: answers of the replacing chain are reported to the old one after healing.

The new tests fail without the changes.

--- a/crates/mustardgrade-core/src/flow/counters.rs
+++ b/crates/mustardgrade-core/src/flow/counters.rs
@@ -27,17 +27,21 @@
     /// This host is fenced: its tables may be out of date, so it must not place the flow.
     #[display("fenced")]
     Fenced,
+    /// A partition separates this host from those that keep the records of the flow's bucket.
+    #[display("records_missing")]
+    RecordsMissing,
 }
 
 impl DropCause {
     /// All causes, in the order of declaration, by which the counters are indexed.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 7] = [
         Self::UnknownService,
         Self::NoUpstream,
         Self::AwaitingMove,
         Self::StaleOwner,
         Self::HopLimit,
         Self::Fenced,
+        Self::RecordsMissing,
     ];
 }
 
--- a/crates/mustardgrade-core/src/flow/owner.rs
+++ b/crates/mustardgrade-core/src/flow/owner.rs
@@ -86,6 +86,7 @@
             return self.forward_to_host(context, &snapshot, chain.owner, header);
         }
         let assigned = recorded.or_else(|| binding_of(&self.openings, context));
+        let claim = claim.or_else(|| self.look_up_flow(context, false).upstream());
         let upstream = match assigned {
             Some(upstream) => upstream,
             None if opens_flow => context.placement.upstream_for_new_flow(),
@@ -97,6 +98,9 @@
         {
             return self.drop_packet(DropCause::AwaitingMove);
         }
+        if assigned.is_none() && claim.is_none() && !opens_flow && self.may_lack_record(context) {
+            return self.drop_packet(DropCause::RecordsMissing);
+        }
         let Some(other_member) = chain.and_then(|chain| chain.other_member(self.local_host)) else {
             self.store_record(service, context.fingerprint, upstream);
             self.replicate_to_joining_hosts(&snapshot, context, upstream);
@@ -125,6 +129,17 @@
         self.forward_to_host(context, &snapshot, other_member, header)
     }
 
+    /// Returns whether the flow of a packet may have a record beyond a partition.
+    ///
+    /// Its upstream cannot be told then. That of a flow without a record is out of reach, so the
+    /// packet would be lost anyway, while a record of it would outlast the partition.
+    fn may_lack_record(&self, context: PacketContext<'_>) -> bool {
+        let guard = self.guard_of(context.route.service, context.bucket);
+        let presumed = context.placement.upstream_for_unrecorded_flow();
+        let is_partitioned = |route: &UpstreamRoute| route.is_partitioned;
+        guard.chain_replacements > 0 && context.route.upstream(presumed).is_some_and(is_partitioned)
+    }
+
     /// Records the upstream that the owner determined, as the replica of a bucket, and delivers the
     /// packet.
     ///
--- a/crates/mustardgrade-core/src/flow/router.rs
+++ b/crates/mustardgrade-core/src/flow/router.rs
@@ -122,6 +122,23 @@
     pub(super) now: Duration,
 }
 
+/// `BucketGuard` is what a host notes about the guards of one bucket.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(super) struct BucketGuard {
+    /// Number of the current guard, or of the last one; wraps around at 256.
+    pub(super) epoch: u8,
+    /// Times that hosts without the records have replaced the whole owner chain during the guard, as
+    /// when a partition cuts off its data centre. Each time starts a new epoch.
+    pub(super) chain_replacements: u8,
+}
+
+impl BucketGuard {
+    /// Returns whether an entry of `entry_epoch` was confirmed in this guard by an earlier chain.
+    pub(super) fn was_confirmed_by_earlier_chain(self, entry_epoch: u8) -> bool {
+        (1..=self.chain_replacements).contains(&self.epoch.wrapping_sub(entry_epoch))
+    }
+}
+
 /// `FlowRouter` determines where each packet of a long-lived flow goes.
 ///
 /// It performs no I/O. Each traffic thread has a router of its own; routers share only the
@@ -137,7 +154,7 @@
     /// has not confirmed them yet.
     pub(super) openings: RecordTable,
     pub(super) exceptions: RecordTable,
-    pub(super) guard_epochs: HashMap<ServiceId, Vec<u8>>,
+    pub(super) guards: HashMap<ServiceId, Vec<BucketGuard>>,
     pub(super) tables_confirmed_at: Duration,
     pub(super) pending_updates: Vec<AddressedUpdate>,
     pub(super) pending_transfers: Vec<RecordTransfer>,
@@ -158,7 +175,7 @@
             records: RecordTable::new(options.record_capacity),
             openings: RecordTable::new(options.record_capacity),
             exceptions: RecordTable::new(options.record_capacity),
-            guard_epochs: HashMap::new(),
+            guards: HashMap::new(),
             tables_confirmed_at: Duration::ZERO,
             pending_updates: Vec::new(),
             pending_transfers: Vec::new(),
@@ -319,12 +336,13 @@
         if !context.placement.phase.is_guarded() && !is_fenced {
             return self.deliver_to_upstream(context, context.placement.target_upstream);
         }
-        let claim = match self.look_up_flow(context, is_fenced) {
-            FlowLookup::Confirmed(upstream) => return self.deliver_to_upstream(context, upstream),
-            FlowLookup::Unconfirmed(upstream) => Some(upstream),
-            FlowLookup::Unknown => None,
-        };
-        self.route_via_owner(context, claim, is_fenced)
+        let lookup = self.look_up_flow(context, is_fenced);
+        match lookup {
+            FlowLookup::Confirmed(upstream) => self.deliver_to_upstream(context, upstream),
+            FlowLookup::Unconfirmed(_) | FlowLookup::Unknown => {
+                self.route_via_owner(context, lookup.upstream(), is_fenced)
+            }
+        }
     }
 
     /// Returns whether the tables have not been confirmed for longer than the fence timeout.
@@ -336,7 +354,7 @@
     /// the owner.
     ///
     /// Such an entry is ignored if this host has seen only the opening of the flow, or if it names
-    /// another upstream than the source of the move.
+    /// another upstream than the source of the move and no earlier owner chain has confirmed it.
     pub(super) fn look_up_flow(
         &mut self,
         context: PacketContext<'_>,
@@ -345,7 +363,8 @@
         if context.packet.opens_flow() {
             return FlowLookup::Unknown;
         }
-        let epoch = self.guard_epoch(context.route.service, context.bucket);
+        let guard = self.guard_of(context.route.service, context.bucket);
+        let epoch = guard.epoch;
         let Some(entry) = self.flow_table.touch(context.fingerprint, context.now) else {
             return FlowLookup::Unknown;
         };
@@ -358,7 +377,9 @@
         if entry.guard_epoch == epoch || is_fenced && !context.placement.phase.is_guarded() {
             return FlowLookup::Confirmed(upstream);
         }
-        if upstream == context.placement.source_upstream {
+        if upstream == context.placement.source_upstream
+            || guard.was_confirmed_by_earlier_chain(entry.guard_epoch)
+        {
             // Each host reports each older flow to the owner once, so the owner learns of a flow
             // even if one of these packets is lost.
             entry.guard_epoch = epoch;
@@ -442,10 +463,15 @@
         self.counters.flow_table_full += u64::from(outcome == InsertOutcome::Full);
     }
 
-    /// Returns the number of the current guard of a bucket, which wraps around at 256.
+    /// Returns the epoch of the current guard of a bucket.
     pub(super) fn guard_epoch(&self, service: ServiceId, bucket: BucketIndex) -> u8 {
-        let epochs = self.guard_epochs.get(&service);
-        epochs.and_then(|epochs| epochs.get(bucket.0 as usize)).copied().unwrap_or_default()
+        self.guard_of(service, bucket).epoch
+    }
+
+    /// Returns the current guard of a bucket, or the last one.
+    pub(super) fn guard_of(&self, service: ServiceId, bucket: BucketIndex) -> BucketGuard {
+        let guards = self.guards.get(&service);
+        guards.and_then(|guards| guards.get(bucket.0 as usize)).copied().unwrap_or_default()
     }
 
     pub(super) fn drop_packet(&mut self, cause: DropCause) -> FlowVerdict {
@@ -464,3 +490,13 @@
     /// The flow table has no usable entry.
     Unknown,
 }
+
+impl FlowLookup {
+    /// Returns the upstream that the flow table names.
+    pub(super) fn upstream(self) -> Option<u16> {
+        match self {
+            Self::Confirmed(upstream) | Self::Unconfirmed(upstream) => Some(upstream),
+            Self::Unknown => None,
+        }
+    }
+}
--- a/crates/mustardgrade-core/src/flow/tests.rs
+++ b/crates/mustardgrade-core/src/flow/tests.rs
@@ -302,6 +302,63 @@
     assert!(matches!(after_the_guard, FlowVerdict::Hop { .. }), "{after_the_guard:?}");
 }
 
+/// Builds the snapshot that these hosts see of each other while upstream 0, and hosts 3 and 4, which
+/// own its buckets, are in another data centre.
+fn snapshot_with_chain_elsewhere(hosts: [u64; 4], is_cut_off: bool) -> Arc<RoutingSnapshot> {
+    let mut snapshot = (*snapshot(collecting_placement(), 1)).clone();
+    let source = &mut snapshot.services[0].upstreams[0];
+    (source.data_centre, source.is_partitioned) = (DataCentreId(2), is_cut_off);
+    let local_member = snapshot.members[0];
+    snapshot.members = hosts
+        .map(|host| HostRoute {
+            host: HostId(host),
+            data_centre: DataCentreId(if [3, 4].contains(&host) { 2 } else { 1 }),
+            ..local_member
+        })
+        .to_vec();
+    Arc::new(snapshot)
+}
+
+/// Returns routers of which one has an answer about the flow from port 1, by an owner chain that is
+/// cut off then; another chain takes its place first, and the two routers after it.
+fn routers_cut_off_from_the_chain(answered: usize) -> [FlowRouter; 2] {
+    let mut routers = routers(collecting_placement());
+    let fingerprint = packet(1, true).key.fingerprint(FlowOptions::default().fingerprint_seed);
+    let (kind, service) = (UpdateKind::Answer, ServiceId(5));
+    let answer = BindingUpdate { kind, service, fingerprint, upstream: 1 };
+    for (index, router) in routers.iter_mut().enumerate() {
+        router.install(snapshot_with_chain_elsewhere([1, 2, 3, 4], false));
+        if index == answered {
+            router.apply_update(&answer, NOW);
+        }
+        router.install(snapshot_with_chain_elsewhere([5, 6, 5, 6], true));
+        router.install(snapshot_with_chain_elsewhere([1, 2, 1, 2], true));
+    }
+    routers
+}
+
+#[test]
+fn hosts_that_took_over_from_a_cut_off_owner_chain_do_not_guess_but_take_reports() {
+    for answered in [0, 1] {
+        let mut routers = routers_cut_off_from_the_chain(answered);
+        let unknown = route_to_end(&mut routers, 1, packet(2, false));
+        let reported = route_to_end(&mut routers, answered, packet(1, false));
+        deliver_updates(&mut routers);
+        let recorded = route_to_end(&mut routers, 1 - answered, packet(1, false));
+        assert!(unknown.ends_with("records_missing"), "{unknown}");
+        assert!(reported.ends_with("upstream 1"), "{reported}");
+        assert!(recorded.ends_with("upstream 1"), "{recorded}");
+    }
+}
+
+#[test]
+fn owner_that_took_over_uses_what_it_knows_of_a_flow_that_another_host_asks_about() {
+    let answered = owner_index(&routers_cut_off_from_the_chain(0), 1);
+    let mut routers = routers_cut_off_from_the_chain(answered);
+    let asked = route_to_end(&mut routers, 1 - answered, packet(1, false));
+    assert!(asked.ends_with("upstream 1"), "{asked}");
+}
+
 #[test]
 fn bucket_exceptions_are_declined_by_a_host_that_may_lack_records() {
     let mut routers = routers(collecting_placement());
