--- a/crates/mustardgrade-core/src/flow/tests.rs
+++ b/crates/mustardgrade-core/src/flow/tests.rs
@@ -262,6 +262,103 @@
     assert!(matches!(verdict, FlowVerdict::Tunnel { upstream, .. } if upstream == expected));
 }
 
+/// Builds the snapshot of a side that a partition separates from upstream 1.
+fn snapshot_cut_off_from_upstream_1(placement: BucketPlacement) -> Arc<RoutingSnapshot> {
+    let mut snapshot = (*snapshot(placement, 1)).clone();
+    let upstream = &mut snapshot.services[0].upstreams[1];
+    (upstream.is_partitioned, upstream.accepts_new_flows) = (true, false);
+    Arc::new(snapshot)
+}
+
+#[test]
+fn opening_that_went_to_an_upstream_beyond_a_partition_is_placed_anew_when_sent_again() {
+    let mut routers = routers(collecting_placement());
+    let first = route_to_end(&mut routers, 0, packet(1, true));
+    deliver_updates(&mut routers);
+    let on_this_side = BucketPlacement { target_upstream: 0, ..collecting_placement() };
+    for router in &mut routers {
+        router.install(snapshot_cut_off_from_upstream_1(on_this_side));
+    }
+    let sent_again = route_to_end(&mut routers, 0, packet(1, true));
+    deliver_updates(&mut routers);
+    for router in &mut routers {
+        router.install(snapshot(collecting_placement(), 2));
+    }
+    let after_it = [0, 1].map(|at| route_to_end(&mut routers, at, packet(1, false)));
+    assert!(first.ends_with("upstream 1"), "{first}");
+    assert!(sent_again.ends_with("upstream 0"), "{sent_again}");
+    assert!(after_it.iter().all(|path| path.ends_with("upstream 0")), "{after_it:?}");
+}
+
+#[test]
+fn opening_from_before_a_guard_does_not_tell_a_fenced_host_the_upstream() {
+    let [mut host, _] = routers(BucketPlacement::steady(0));
+    let opened = host.route(&packet(1, true), NOW);
+    host.install(snapshot(collecting_placement(), 2));
+    host.install(snapshot(BucketPlacement::steady(0), 3));
+    host.set_tables_confirmed_at(Duration::ZERO);
+    let after_the_guard = host.route(&packet(1, false), NOW);
+    assert!(matches!(opened, FlowVerdict::Tunnel { .. }), "{opened:?}");
+    assert!(matches!(after_the_guard, FlowVerdict::Hop { .. }), "{after_the_guard:?}");
+}
+
+/// Builds the snapshot that these hosts see of each other while upstream 0, and hosts 3 and 4, which
+/// own its buckets, are in another data centre.
+fn snapshot_with_chain_elsewhere(hosts: [u64; 4], is_cut_off: bool) -> Arc<RoutingSnapshot> {
+    let mut snapshot = (*snapshot(collecting_placement(), 1)).clone();
+    let source = &mut snapshot.services[0].upstreams[0];
+    (source.data_centre, source.is_partitioned) = (DataCentreId(2), is_cut_off);
+    let local_member = snapshot.members[0];
+    snapshot.members = hosts
+        .map(|host| HostRoute {
+            host: HostId(host),
+            data_centre: DataCentreId(if [3, 4].contains(&host) { 2 } else { 1 }),
+            ..local_member
+        })
+        .to_vec();
+    Arc::new(snapshot)
+}
+
+/// Returns routers of which one has an answer about the flow from port 1, by an owner chain that is
+/// cut off then; another chain takes its place first, and the two routers after it.
+fn routers_cut_off_from_the_chain(answered: usize) -> [FlowRouter; 2] {
+    let mut routers = routers(collecting_placement());
+    let fingerprint = packet(1, true).key.fingerprint(FlowOptions::default().fingerprint_seed);
+    let (kind, service) = (UpdateKind::Answer, ServiceId(5));
+    let answer = BindingUpdate { kind, service, fingerprint, upstream: 1 };
+    for (index, router) in routers.iter_mut().enumerate() {
+        router.install(snapshot_with_chain_elsewhere([1, 2, 3, 4], false));
+        if index == answered {
+            router.apply_update(&answer, NOW);
+        }
+        router.install(snapshot_with_chain_elsewhere([5, 6, 5, 6], true));
+        router.install(snapshot_with_chain_elsewhere([1, 2, 1, 2], true));
+    }
+    routers
+}
+
+#[test]
+fn hosts_that_took_over_from_a_cut_off_owner_chain_do_not_guess_but_take_reports() {
+    for answered in [0, 1] {
+        let mut routers = routers_cut_off_from_the_chain(answered);
+        let unknown = route_to_end(&mut routers, 1, packet(2, false));
+        let reported = route_to_end(&mut routers, answered, packet(1, false));
+        deliver_updates(&mut routers);
+        let recorded = route_to_end(&mut routers, 1 - answered, packet(1, false));
+        assert!(unknown.ends_with("records_missing"), "{unknown}");
+        assert!(reported.ends_with("upstream 1"), "{reported}");
+        assert!(recorded.ends_with("upstream 1"), "{recorded}");
+    }
+}
+
+#[test]
+fn owner_that_took_over_uses_what_it_knows_of_a_flow_that_another_host_asks_about() {
+    let answered = owner_index(&routers_cut_off_from_the_chain(0), 1);
+    let mut routers = routers_cut_off_from_the_chain(answered);
+    let asked = route_to_end(&mut routers, 1 - answered, packet(1, false));
+    assert!(asked.ends_with("upstream 1"), "{asked}");
+}
+
 #[test]
 fn bucket_exceptions_are_declined_by_a_host_that_may_lack_records() {
     let mut routers = routers(collecting_placement());
