Data sent after a retransmission takes the unanswered request back

What callers would see: open flows of an upstream that serves are reset while several callers upload over lossy links. Cause: an upload's answer comes at its end, so the upstream's acknowledgements do not show in the callers' packets; one retransmission of a lost packet counted as an unanswered request until then. Fix: a caller that sends more data after a retransmission has got acknowledgements; its flow no longer counts. New flows avoid the upstream as before. Test: uploads_with_a_lost_packet_do_not_make_their_upstream_silent failed before (UpstreamSilent).

--- a/crates/mustardgrade-core/src/cookie/observe.rs
+++ b/crates/mustardgrade-core/src/cookie/observe.rs
@@ -128,6 +128,10 @@
         if has_new_data {
             flow.next_sequence = payload_end;
             flow.has_carried_data = true;
+            if std::mem::take(&mut flow.is_counted_unanswered) {
+                // The caller could go on, so the upstream has acknowledged what came before.
+                self.trackers[index].withdraw_unanswered_request();
+            }
             if flow.request_sent_at.is_none() {
                 flow.request_sent_at = Some(now);
                 flow.is_counted_in_flight = true;
--- a/crates/mustardgrade-core/src/cookie/tests/evidence.rs
+++ b/crates/mustardgrade-core/src/cookie/tests/evidence.rs
@@ -227,3 +227,24 @@
     answer_from_2(&mut router, 9_205);
     assert_eq!(routed_tag(&mut router, &request_to_1(7), ms(9_210)), 1);
 }
+
+/// Guards against resets of flows that upload, each of which has lost a packet: their upstream
+/// acknowledges the data, but sends none that its callers could acknowledge.
+#[test]
+fn uploads_with_a_lost_packet_do_not_make_their_upstream_silent() {
+    let mut router = router_with_two_upstreams();
+    let packet = |caller, number: u32| {
+        let (key, cookie) = (flow_key(caller, DESK_ROUTE), cookie_of_upstream_1());
+        established_packet(key, cookie, 101 + number * 1_200, 1, 1_200)
+    };
+    for step in 0..60_u32 {
+        let at_ms = 1_000 + u64::from(step) * 20;
+        for caller in 1..6 {
+            assert_eq!(routed_tag(&mut router, &packet(caller, step), ms(at_ms)), 1);
+            if step == 20 {
+                assert_eq!(routed_tag(&mut router, &packet(caller, 8), ms(at_ms)), 1);
+            }
+        }
+        answer_from_2(&mut router, at_ms + 5);
+    }
+}
--- a/crates/mustardgrade-core/src/cookie/tracker.rs
+++ b/crates/mustardgrade-core/src/cookie/tracker.rs
@@ -268,6 +268,11 @@
         self.record_unanswered(sent_at, options)
     }
 
+    /// Takes back an unanswered request, since its caller has sent more data after retransmitting.
+    pub fn withdraw_unanswered_request(&mut self) {
+        self.unanswered_requests = self.unanswered_requests.saturating_sub(1);
+    }
+
     /// Returns whether the upstream is suspected of having failed.
     #[must_use]
     pub fn is_suspected(&self, options: &FailureDetectionOptions) -> bool {
