--- a/crates/mustardgrade-core/src/cookie/tests/evidence.rs
+++ b/crates/mustardgrade-core/src/cookie/tests/evidence.rs
@@ -197,8 +197,11 @@
         last_unanswered_request_age: Some(ms(439)),
         gone_for: None,
     };
-    let is_expected = |event: &FlowEvent| matches!(event, FlowEvent::Reset { evidence: Some(evidence), .. } if *evidence == expected);
-    assert!(events.iter().any(is_expected), "{events:?}");
+    let evidence_of = |event: &FlowEvent| match event {
+        FlowEvent::Reset { evidence, .. } => *evidence,
+        _ => None,
+    };
+    assert_eq!(events.iter().find_map(evidence_of), Some(expected));
 }
 
 /// Returns a report of another host whose openings to upstream 1 are unanswered.
@@ -208,8 +211,7 @@
     report
 }
 
-/// Guards against resets of live flows when an upstream answers no opening: it is full, or the
-/// callers have vanished, or the fabric has sent their next packets to other hosts.
+/// Guards against resets of live flows at a full upstream, or after a change of the fabric.
 #[test]
 fn unanswered_openings_reset_no_open_flow() {
     let mut router = router_with_two_upstreams();
@@ -227,8 +229,7 @@
     assert_eq!(routed_tag(&mut router, &request_to_1(9_001), ms(1_850)), 1);
 }
 
-/// Guards against resets of flows that are answered, when other hosts report their upstream and one
-/// request of this host is lost.
+/// Guards against resets of live flows by one lost request together with reports of other hosts.
 #[test]
 fn one_unanswered_request_resets_no_other_flow() {
     let mut router = router_with_two_upstreams();
@@ -239,8 +240,7 @@
     assert_eq!(router.route(&request_to_1(1), ms(1_650)), SILENT);
 }
 
-/// Guards against a reset by one lost request long after a partition, whose evidence no answer has
-/// ended because no flow was left to show one.
+/// Guards against a reset by one lost request long after a partition that left no flow to answer.
 #[test]
 fn lost_request_after_a_partition_resets_no_flow() {
     let mut router = router_with_two_upstreams();
@@ -252,8 +252,7 @@
     assert_eq!(routed_tag(&mut router, &request_to_1(7), ms(9_210)), 1);
 }
 
-/// Guards against resets of flows that upload, each of which has lost a packet: their upstream
-/// acknowledges the data, but sends none that its callers could acknowledge.
+/// Guards against resets of uploads, whose callers have no answers to acknowledge.
 #[test]
 fn uploads_with_a_lost_packet_do_not_make_their_upstream_silent() {
     let mut router = router_with_two_upstreams();
--- a/crates/mustardgrade-core/src/cookie/tests/late_openings.rs
+++ b/crates/mustardgrade-core/src/cookie/tests/late_openings.rs
@@ -23,19 +23,19 @@
     flow_key(1, ARCHIVE_ROUTE)
 }
 
-/// Guards against a reset by a stalled host of a flow that a copy has opened through another host.
+/// Guards against a reset by a stalled host of a flow that a retransmission has opened elsewhere.
 #[test]
 fn refused_opening_that_waited_at_a_stalled_host_is_not_reset() {
     let mut router = router_without_archive();
     assert_eq!(router.route(&syn_packet(archive_flow(), 0), ms(1_160)), SILENCE);
     router.process_timeouts(ms(1_170));
-    // The copy shows that no other host has got one, and that this one has not waited.
+    // This host has received all transmissions, and the latest has not waited.
     assert_eq!(router.route(&syn_packet(archive_flow(), 1), ms(1_180)), NO_UPSTREAM);
 }
 
 /// Guards against a reset of a flow whose original was delayed at the host that had it before.
 #[test]
-fn refused_copy_of_an_opening_that_passed_another_host_is_not_reset() {
+fn refused_retransmission_of_an_opening_that_passed_another_host_is_not_reset() {
     let mut router = router_without_archive();
     assert_eq!(router.route(&syn_packet(archive_flow(), 1), ms(1_010)), SILENCE);
     assert_eq!(router.route(&syn_packet(archive_flow(), 2), ms(1_020)), SILENCE);
--- a/crates/mustardgrade-core/src/cookie/tests/misrouting.rs
+++ b/crates/mustardgrade-core/src/cookie/tests/misrouting.rs
@@ -277,7 +277,7 @@
     assert_ne!(request_at(&mut router, 4, 7, 6_510), gone);
 }
 
-/// Guards against packets of an open flow at another upstream, which has accepted a copy too late.
+/// Guards against packets of an open flow at another upstream, which has accepted its opening late.
 #[test]
 fn late_acceptance_by_another_upstream_does_not_lead_an_open_flow_there() {
     let mut registry = TestRegistry::new();
--- a/crates/mustardgrade-core/src/cookie/tests/reachability.rs
+++ b/crates/mustardgrade-core/src/cookie/tests/reachability.rs
@@ -215,8 +215,7 @@
     assert_eq!(verdict, CookieVerdict::Reset(ResetCause::UpstreamSilent));
 }
 
-/// Guards against resets of live flows when the upstreams of a data centre leave openings
-/// unanswered, as after a change of the fabric, and their open flows happen to pause.
+/// Guards against resets of live flows that pause while a data centre leaves openings unanswered.
 #[test]
 fn unanswered_openings_at_a_whole_data_centre_reset_no_open_flow() {
     let registry = registry();
--- a/crates/mustardgrade-core/src/watch/tests/restore.rs
+++ b/crates/mustardgrade-core/src/watch/tests/restore.rs
@@ -183,8 +183,7 @@
     assert_eq!(in_force(&controller), Some(&again.value));
 }
 
-/// Guards against resets by a host that enters an epoch only after lapsed upstreams have registered
-/// again, or of upstreams that lapsed after the copy and whose next reports change nothing in it.
+/// Guards against resets by a host that enters an epoch after lapsed upstreams have registered again.
 #[test]
 fn lapsed_upstream_that_a_restored_store_holds_keeps_its_open_flows() {
     let ready = registration(RegisteredState::Ready, 1);
--- a/crates/mustardgrade-standin/src/fleet/tests/restores.rs
+++ b/crates/mustardgrade-standin/src/fleet/tests/restores.rs
@@ -234,8 +234,7 @@
     }
 }
 
-/// Guards against resets of an upstream that lapsed behind a cut and is registered again before all
-/// hosts have entered the restored store's epoch.
+/// Guards against resets by hosts that enter a restored store's epoch after an upstream's return.
 #[test]
 fn upstream_that_lapsed_and_returned_across_a_restore_keeps_its_open_flows() {
     for seed in 0..SEED_COUNT {
