--- a/crates/mustardgrade-core/src/cookie/mod.rs
+++ b/crates/mustardgrade-core/src/cookie/mod.rs
@@ -5,6 +5,7 @@
 
 mod counters;
 mod flow_cookie;
+mod holders;
 mod load;
 mod observe;
 mod observed_flows;
@@ -12,6 +13,7 @@
 mod packet;
 mod picker;
 mod reachability;
+mod resets;
 mod router;
 mod snapshot;
 mod tracker;
--- a/crates/mustardgrade-core/src/cookie/router.rs
+++ b/crates/mustardgrade-core/src/cookie/router.rs
@@ -8,19 +8,17 @@
 use serde::{Deserialize, Serialize};
 
 use super::counters::{CookieCounters, CookieDropCause, ResetCause};
-use super::flow_cookie::FlowCookie;
 use super::load::{PeerLoad, PeerLoads};
 use super::observe::QueuedRequest;
 use super::observed_flows::{FlowStage, ObservedFlow, ObservedFlowTable};
 use super::openings::{QueuedOpening, RefusedOpening};
-use super::packet::{CookiePacket, CookieVerdict, FlowEvent, ResetEvidence};
+use super::packet::{CookiePacket, CookieVerdict, FlowEvent};
 use super::picker::PickBuffers;
 use super::reachability::ReachabilityTable;
-use super::snapshot::{CookieRoute, CookieSnapshot, UpstreamView};
-use super::tracker::{FailureDetectionOptions, UpstreamTracker};
+use super::snapshot::CookieSnapshot;
+use super::tracker::{FailureDetectionOptions, UpstreamTracker, carry_over_trackers};
 use super::utilisation::LoadEstimator;
-use crate::flow::{FlowKey, FlowPacket};
-use crate::registry::RetryPolicy;
+use crate::flow::FlowKey;
 
 /// Interval at which idle flows are removed from the flow table.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
@@ -29,10 +27,6 @@
 /// host. What such a packet shows of an upstream is out of date.
 const MAX_PACKET_DELAY: Duration = Duration::from_millis(250);
 
-/// Time for which a host corrects the cookies of a flow's packets. By then the upstream that holds
-/// it has answered, so that the caller returns its cookie again.
-const MAX_COOKIE_CORRECTION: Duration = Duration::from_secs(1);
-
 /// Idle timeout of flows if the manifest does not state one.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -240,21 +234,6 @@
         }
     }
 
-    /// Returns what this host knows of the upstream of a flow that it resets.
-    fn reset_evidence(&self, cookie: FlowCookie, now: Duration) -> Option<ResetEvidence> {
-        let index = self.snapshot.upstream_index(cookie)?;
-        let tracker = self.trackers[index].merged_with_peers(self.peer_loads[index]);
-        let age = |at: Duration| (!at.is_zero()).then(|| now.saturating_sub(at));
-        Some(ResetEvidence {
-            unanswered_flows: tracker.unanswered_flows,
-            unanswered_requests: tracker.unanswered_requests,
-            presumed_unanswered_flows: tracker.presumed_unanswered_flows,
-            silence: age(tracker.last_alive),
-            last_unanswered_request_age: age(tracker.last_unanswered_request),
-            gone_for: self.snapshot.upstreams[index].gone_at.and_then(|at| now.checked_sub(at)),
-        })
-    }
-
     /// Routes a packet of an open flow by its cookie.
     fn route_established(
         &mut self,
@@ -291,113 +270,6 @@
         CookieVerdict::Forward { index, cookie }
     }
 
-    /// Returns whether a manifest has dropped the route of a flow that was open before.
-    ///
-    /// Other hosts may follow a newer manifest that has the route again; what they have opened by
-    /// it is unknown here. A flow that this host has observed passed it while it had the route.
-    fn has_lost_route(&self, snapshot: &CookieSnapshot, key: &FlowKey) -> bool {
-        snapshot.dropped_routes.contains(&key.service) && self.flows.get(key).is_some()
-    }
-
-    /// Returns the cookie of the upstream that holds the flow of a packet.
-    ///
-    /// Two upstreams may have answered the opening's transmissions. A late answer of the one that
-    /// does not hold the flow replaces the cookie that the caller returns, until the other one
-    /// answers again.
-    fn holder_cookie(
-        &mut self,
-        snapshot: &CookieSnapshot,
-        packet: &CookiePacket,
-        now: Duration,
-    ) -> FlowCookie {
-        let key = packet.segment.key;
-        let Some(flow) = self.flows.get_mut(&key) else { return packet.cookie };
-        let holder = snapshot.upstream_index(flow.cookie);
-        if holder == snapshot.upstream_index(packet.cookie) {
-            flow.foreign_cookie_since = None;
-            return packet.cookie;
-        }
-        let since = flow.foreign_cookie_since.unwrap_or(now);
-        let is_corrected = now.saturating_sub(since) < MAX_COOKIE_CORRECTION;
-        if holder.is_none() || !flow.is_held_for(&packet.segment) || !is_corrected {
-            return packet.cookie;
-        }
-        self.counters.cookies_corrected += 1;
-        if flow.foreign_cookie_since.replace(since).is_none() {
-            let (from, to) = (packet.cookie, flow.cookie);
-            self.events.push(FlowEvent::CookieCorrected { key, from, to });
-        }
-        flow.cookie
-    }
-
-    /// Returns whether to reset an open flow so that its caller reconnects: the packet carries a
-    /// request of an idempotent route, the upstream is silent, and another upstream of the service
-    /// answers. This host itself must have found the request, or those of several other open flows,
-    /// unanswered.
-    fn should_reset_silent(
-        &self,
-        snapshot: &CookieSnapshot,
-        route: &CookieRoute,
-        index: usize,
-        segment: &FlowPacket,
-        now: Duration,
-    ) -> bool {
-        let options = &self.options.failure_detection;
-        if segment.payload_length == 0 || route.config.retry_policy != RetryPolicy::Idempotent {
-            return false;
-        }
-        // With a fabric that sprays packets, a host rarely sees the retransmissions of a flow.
-        let own = self.trackers[index].without_expired_requests(options, now);
-        let has_evidence = self.options.fabric == FabricKind::Any
-            || own.has_own_evidence(options, now)
-            || self.flows.get(&segment.key).is_some_and(|flow| flow.is_counted_unanswered);
-        if !has_evidence || !own.merged_with_peers(self.peer_loads[index]).is_silent(options, now) {
-            return false;
-        }
-        let service = snapshot.upstreams[index].service;
-        let alternatives = snapshot.upstreams_by_service.get(&service).into_iter().flatten();
-        let is_alive = |other: &&usize| {
-            **other != index
-                && snapshot.upstreams[**other].accepts_flows(now)
-                && now.saturating_sub(self.trackers[**other].last_alive)
-                    < options.alternative_alive_window
-        };
-        alternatives.filter(is_alive).count() >= 1
-    }
-
-    /// Returns whether an open flow of an upstream that has no entry may be ended: this host has
-    /// found a request to the upstream unanswered.
-    ///
-    /// The entry alone does not show it: an upstream that was cut off from the store, or that a
-    /// restored store has lost, may answer all the while. With a fabric that sprays packets, a host
-    /// rarely sees the retransmissions of a flow, so no answer since the removal has to do.
-    fn is_gone_for_open_flows(&self, index: usize, key: &FlowKey, now: Duration) -> bool {
-        let options = &self.options.failure_detection;
-        let own = self.trackers[index].without_expired_requests(options, now);
-        let of_all_hosts = own.merged_with_peers(self.peer_loads[index]);
-        let gone_at = self.snapshot.upstreams[index].gone_at.unwrap_or(Duration::MAX);
-        match self.options.fabric {
-            FabricKind::Any => of_all_hosts.last_alive <= gone_at,
-            FabricKind::Hash => {
-                let has_evidence = own.recent_unanswered_requests(options, now) > 0
-                    || self.flows.get(key).is_some_and(|flow| flow.is_counted_unanswered);
-                has_evidence && of_all_hosts.has_lasting_unanswered_request(options, now)
-            }
-        }
-    }
-
-    /// Ends a flow whose upstream is gone; the caller gets a reset only if it can safely repeat its
-    /// request and has not reset the flow itself.
-    fn end_gone_flow(&mut self, route: &CookieRoute, segment: &FlowPacket) -> CookieVerdict {
-        let flow = self.remove_flow(&segment.key);
-        let may_have_run = flow.is_none_or(|flow| flow.has_carried_data);
-        let is_reset_useful = route.config.retry_policy == RetryPolicy::Idempotent || !may_have_run;
-        match is_reset_useful && !segment.flags.rst {
-            true => CookieVerdict::Reset(ResetCause::UpstreamGone),
-            false => CookieVerdict::Drop(CookieDropCause::Unreachable),
-        }
-    }
-
     pub(super) fn remove_flow(&mut self, key: &FlowKey) -> Option<ObservedFlow> {
         let flow = self.flows.remove(key)?;
         uncount_flow(&self.snapshot, &mut self.trackers, &flow);
@@ -415,34 +287,6 @@
     }
 }
 
-/// Returns the trackers of the upstreams of `snapshot`, in its order; those of upstreams that it has
-/// in common with the last one are kept.
-///
-/// Both are in the same order, so neighbouring upstreams are mostly found without a search.
-fn carry_over_trackers(
-    trackers: &[UpstreamTracker],
-    snapshot: &CookieSnapshot,
-) -> Vec<UpstreamTracker> {
-    let mut by_cookie: Option<HashMap<FlowCookie, usize>> = None;
-    let mut next = 0;
-    let carry_over = |view: &UpstreamView| {
-        let is_next = trackers.get(next).is_some_and(|tracker| tracker.cookie == view.cookie);
-        let index = match is_next {
-            true => Some(next),
-            false => by_cookie
-                .get_or_insert_with(|| {
-                    let cookies = trackers.iter().map(|tracker| tracker.cookie);
-                    cookies.enumerate().map(|(index, cookie)| (cookie, index)).collect()
-                })
-                .get(&view.cookie)
-                .copied(),
-        };
-        next = index.map_or(next, |index| index + 1);
-        index.map_or(UpstreamTracker::new(view.cookie), |index| trackers[index])
-    };
-    snapshot.upstreams.iter().map(carry_over).collect()
-}
-
 /// Removes a flow from the counts of its upstream's tracker.
 fn uncount_flow(snapshot: &CookieSnapshot, trackers: &mut [UpstreamTracker], flow: &ObservedFlow) {
     let Some(index) = snapshot.upstream_index(flow.cookie) else { return };
--- a/crates/mustardgrade-core/src/cookie/tracker.rs
+++ b/crates/mustardgrade-core/src/cookie/tracker.rs
@@ -4,12 +4,14 @@
 //! bytes shows that its upstream is alive; an opening without a follow-up packet, or a
 //! retransmitted payload, suggests that it is not.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use super::flow_cookie::FlowCookie;
 use super::load::PeerLoad;
+use super::snapshot::{CookieSnapshot, UpstreamView};
 use crate::identity::rendezvous_score;
 
 /// Maximum multiple of the probe interval between two probes of one host; with the default interval
@@ -395,3 +397,31 @@
         self.pending_requests + self.pending_openings
     }
 }
+
+/// Returns the trackers of the upstreams of `snapshot`, in its order; those of upstreams that it has
+/// in common with the last one are kept.
+///
+/// Both are in the same order, so neighbouring upstreams are mostly found without a search.
+pub(super) fn carry_over_trackers(
+    trackers: &[UpstreamTracker],
+    snapshot: &CookieSnapshot,
+) -> Vec<UpstreamTracker> {
+    let mut by_cookie: Option<HashMap<FlowCookie, usize>> = None;
+    let mut next = 0;
+    let carry_over = |view: &UpstreamView| {
+        let is_next = trackers.get(next).is_some_and(|tracker| tracker.cookie == view.cookie);
+        let index = match is_next {
+            true => Some(next),
+            false => by_cookie
+                .get_or_insert_with(|| {
+                    let cookies = trackers.iter().map(|tracker| tracker.cookie);
+                    cookies.enumerate().map(|(index, cookie)| (cookie, index)).collect()
+                })
+                .get(&view.cookie)
+                .copied(),
+        };
+        next = index.map_or(next, |index| index + 1);
+        index.map_or(UpstreamTracker::new(view.cookie), |index| trackers[index])
+    };
+    snapshot.upstreams.iter().map(carry_over).collect()
+}
--- a/crates/mustardgrade-core/src/flow/mod.rs
+++ b/crates/mustardgrade-core/src/flow/mod.rs
@@ -8,6 +8,7 @@
 
 mod chain;
 mod counters;
+mod guards;
 mod messages;
 mod owner;
 mod packet;
--- a/crates/mustardgrade-core/src/flow/record_sync.rs
+++ b/crates/mustardgrade-core/src/flow/record_sync.rs
@@ -6,7 +6,7 @@
 
 use super::messages::RecordTransfer;
 use super::records::BindingRecord;
-use super::router::{BucketGuard, FlowRouter};
+use super::router::FlowRouter;
 use super::snapshot::{RoutingSnapshot, ServiceRoute};
 use crate::identity::{HostId, ServiceId};
 use crate::placement::BucketIndex;
@@ -104,36 +104,6 @@
         self.snapshot = snapshot;
     }
 
-    /// Starts the guard epochs of a service that begin with `new_snapshot`.
-    fn update_guards(&mut self, new_snapshot: &RoutingSnapshot, route: &ServiceRoute) {
-        let old_snapshot = Arc::clone(&self.snapshot);
-        let old_route = old_snapshot.service(route.service);
-        let guards = self.guards.entry(route.service).or_default();
-        guards.resize(route.table.buckets.len(), BucketGuard::default());
-        for (index, guard) in guards.iter_mut().enumerate() {
-            let bucket = BucketIndex(index as u32);
-            let placement = route.table.placement_of(bucket);
-            if !placement.phase.is_guarded() {
-                continue;
-            }
-            let old_route = old_route.filter(|old_route| {
-                old_route.table.buckets.get(index).is_some_and(|old| {
-                    old.phase.is_guarded() && old.source_upstream == placement.source_upstream
-                })
-            });
-            let chain_is_replaced = old_route.is_some_and(|old_route| {
-                is_chain_replaced(&old_snapshot, old_route, new_snapshot, route, bucket)
-            });
-            if old_route.is_none() || chain_is_replaced {
-                guard.epoch = guard.epoch.wrapping_add(1);
-                guard.chain_replacements = match chain_is_replaced {
-                    true => guard.chain_replacements.saturating_add(1),
-                    false => 0,
-                };
-            }
-        }
-    }
-
     /// Queues the records of buckets whose owner chain gains a host with `new_snapshot`.
     pub(super) fn queue_transfers(&mut self, new_snapshot: &RoutingSnapshot) {
         if self.records.is_empty() {
@@ -229,22 +199,3 @@
     };
     new_chain.hosts().filter(is_added).collect()
 }
-
-/// Returns whether no host of the owner chain of a bucket with `old_snapshot` is in that with
-/// `new_snapshot`.
-fn is_chain_replaced(
-    old_snapshot: &RoutingSnapshot,
-    old_route: &ServiceRoute,
-    new_snapshot: &RoutingSnapshot,
-    new_route: &ServiceRoute,
-    bucket: BucketIndex,
-) -> bool {
-    if old_snapshot.members == new_snapshot.members {
-        return false;
-    }
-    let old_chain = old_snapshot.chain(old_route, bucket);
-    let new_chain = new_snapshot.chain(new_route, bucket);
-    old_chain.zip(new_chain).is_some_and(|(old_chain, new_chain)| {
-        !new_chain.hosts().any(|host| old_chain.contains(host))
-    })
-}
--- a/crates/mustardgrade-core/src/flow/router.rs
+++ b/crates/mustardgrade-core/src/flow/router.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::counters::{DropCause, FlowCounters};
+use super::guards::BucketGuard;
 use super::messages::{
     AddressedUpdate, BindingUpdate, HopHeader, HopStage, RecordTransfer, UpdateKind,
 };
@@ -122,23 +123,6 @@
     pub(super) now: Duration,
 }
 
-/// `BucketGuard` is what a host notes about the guards of one bucket.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub(super) struct BucketGuard {
-    /// Number of the current guard, or of the last one; wraps around at 256.
-    pub(super) epoch: u8,
-    /// Times that hosts without the records have replaced the whole owner chain during the guard, as
-    /// when a partition cuts off its data centre. Each time starts a new epoch.
-    pub(super) chain_replacements: u8,
-}
-
-impl BucketGuard {
-    /// Returns whether an entry of `entry_epoch` was confirmed in this guard by an earlier chain.
-    pub(super) fn was_confirmed_by_earlier_chain(self, entry_epoch: u8) -> bool {
-        (1..=self.chain_replacements).contains(&self.epoch.wrapping_sub(entry_epoch))
-    }
-}
-
 /// `FlowRouter` determines where each packet of a long-lived flow goes.
 ///
 /// It performs no I/O. Each traffic thread has a router of its own; routers share only the
@@ -463,17 +447,6 @@
         self.counters.flow_table_full += u64::from(outcome == InsertOutcome::Full);
     }
 
-    /// Returns the epoch of the current guard of a bucket.
-    pub(super) fn guard_epoch(&self, service: ServiceId, bucket: BucketIndex) -> u8 {
-        self.guard_of(service, bucket).epoch
-    }
-
-    /// Returns the current guard of a bucket, or the last one.
-    pub(super) fn guard_of(&self, service: ServiceId, bucket: BucketIndex) -> BucketGuard {
-        let guards = self.guards.get(&service);
-        guards.and_then(|guards| guards.get(bucket.0 as usize)).copied().unwrap_or_default()
-    }
-
     pub(super) fn drop_packet(&mut self, cause: DropCause) -> FlowVerdict {
         self.counters.count_drop(cause);
         FlowVerdict::Drop(cause)
