--- a/crates/mustardgrade-core/src/watch/replication.rs
+++ b/crates/mustardgrade-core/src/watch/replication.rs
@@ -277,8 +277,13 @@
                 outputs.push(WatchOutput::Event(WatchEvent::InvalidRoute { cause }));
             }
             let previous_manifest = self.registry.manifest().cloned();
+            let ends_deferral = self.registry.may_have_returned(&change.key);
             match self.registry.apply(change.clone(), now) {
-                ApplyOutcome::Outdated | ApplyOutcome::Unchanged => continue,
+                ApplyOutcome::Outdated => continue,
+                ApplyOutcome::Unchanged => {
+                    changed |= ends_deferral;
+                    continue;
+                }
                 ApplyOutcome::Deferred => {
                     let (key, position) = (change.key.clone(), change.position);
                     let event = WatchEvent::ChangeDeferred { key, position };
--- a/crates/mustardgrade-core/src/watch/tests/restore.rs
+++ b/crates/mustardgrade-core/src/watch/tests/restore.rs
@@ -239,3 +239,27 @@
     assert!(batch.is_complete());
     assert_eq!(batch.changes.len(), 2);
 }
+
+#[test]
+fn upstream_whose_remainder_a_restored_store_removes_counts_as_gone() {
+    let ready = registration(RegisteredState::Ready, 1);
+    let mut controller =
+        watching_controller(vec![manifest(3, 2), at_position(1, 4, ready.clone())]);
+    let mut removed = at_position(1, 10, ready.clone());
+    removed.value = RegistryValue::Removed { possibly_spurious: false };
+    let batch = ChangeBatch {
+        after: position(1, 9),
+        through: position(1, 10),
+        changes: vec![removed.clone()],
+    };
+    handle_at(&mut controller, WatchInput::Changes { from: PEER, batch: Some(batch) }, 100);
+    let batch = complete_batch_at(position(2, 9), vec![at_position(2, 8, ready)]);
+    handle_at(&mut controller, WatchInput::Changes { from: PEER, batch: Some(batch) }, 3_000);
+    removed.position = position(2, 10);
+    let batch =
+        ChangeBatch { after: position(2, 9), through: position(2, 10), changes: vec![removed] };
+    let outputs =
+        handle_at(&mut controller, WatchInput::Changes { from: PEER, batch: Some(batch) }, 4_000);
+    assert!(controller.snapshot().upstreams[0].is_gone(Duration::from_millis(7_000)));
+    assert!(outputs.contains(&WatchOutput::InstallSnapshot));
+}
