Open flows are ended on a host's own, unrefuted evidence about open flows

What callers would see: resets of open flows whose upstream answers.

- Upstream without an entry: one slow request reset the other flows for 2 s, also where the upstream had answered since its removal; acknowledgements and closing packets were reset.
Now a flow is ended by its own request, unanswered for 450 ms, or by four others, and only at a packet with payload.
- Evidence that an answer to another host refutes no longer counts as this host's own.
- Reports carry the age of the first unanswered request; that of openings stood for it.
- A lost packet of an upload counted from the start of the upload; now from the last new data.
Packets from before a host took a flow over, and requests taken back, no longer count or lend their age.
- A restarted upstream is not blamed for openings of its former run.
- The holder of a flow is the upstream that the caller's bare acknowledgement names; the first data packet may already carry the cookie of another.
- A busy host refuses openings at once again: silence is for hosts that stalled, not for sockets that are never empty.
- A payload packet on an upstream without unanswered requests is decided without copying its tracker.

--- a/crates/mustardgrade-core/src/cookie/observe.rs
+++ b/crates/mustardgrade-core/src/cookie/observe.rs
@@ -62,7 +62,7 @@
     ) {
         let segment = &packet.segment;
         let known = self.flows.get(&segment.key).copied();
-        let is_follow_up = known.is_some_and(|flow| flow.is_followed_up_by(segment));
+        let is_acceptance = known.is_some_and(|flow| flow.is_accepted_by(segment, cookie));
         let mut flow = match known {
             Some(flow) if flow.cookie == cookie => flow,
             Some(_) | None => {
@@ -83,7 +83,7 @@
         let is_answered = flow.stage == FlowStage::Opening
             || segment.acknowledgement.wrapping_sub(flow.last_acknowledgement) as i32 > 0;
         // After a delay, the flow may have been opened through another host.
-        flow.is_holder_observed |= is_follow_up && !self.is_delayed(now);
+        flow.is_holder_observed |= is_acceptance && !self.is_delayed(now);
         if flow.stage == FlowStage::Opening {
             flow.stage = FlowStage::Open;
             self.push_answered(segment, AnswerStage::Opening, flow.opened_at, now);
@@ -131,9 +131,10 @@
         if has_new_data {
             flow.next_sequence = payload_end;
             flow.has_carried_data = true;
+            flow.last_data_sent_at = now;
             if std::mem::take(&mut flow.is_counted_unanswered) {
                 // The caller could go on, so the upstream has acknowledged what came before.
-                self.trackers[index].withdraw_unanswered_request();
+                self.trackers[index].withdraw_unanswered_request(now);
             }
             if flow.request_sent_at.is_none() {
                 flow.request_sent_at = Some(now);
@@ -143,7 +144,12 @@
             }
             return;
         }
-        let Some(sent_at) = flow.request_sent_at else { return };
+        let is_of_another_host = (segment.sequence.wrapping_sub(flow.first_sequence) as i32) < 0;
+        if flow.request_sent_at.is_none() || is_of_another_host {
+            return;
+        }
+        // A caller that could send more data since its request began was acknowledged meanwhile.
+        let sent_at = flow.last_data_sent_at;
         // The retransmission may have waited at this host together with the request.
         let min_age = self.drained_at.saturating_sub(sent_at);
         if !flow.is_counted_unanswered && min_age >= MIN_RETRANSMISSION_AGE {
@@ -248,13 +254,14 @@
 ) -> LoadEntry {
     let age = |since| saturate_u16(now.saturating_sub(since).as_millis() as u32);
     let unanswered_since = tracker.unanswered_since();
-    let unanswered_requests = tracker.without_expired_requests(options, now).unanswered_requests;
+    let own_requests = tracker.without_expired_requests(options, now);
     LoadEntry {
         cookie: tracker.cookie,
         in_flight: saturate_u16(tracker.in_flight()),
         unanswered_flows: saturate_u16(tracker.unanswered_flows),
-        unanswered_requests: saturate_u16(unanswered_requests),
+        unanswered_requests: saturate_u16(own_requests.unanswered_requests),
         unanswered_age_ms: unanswered_since.map_or(u16::MAX, age),
+        requests_age_ms: own_requests.unanswered_requests_since().map_or(u16::MAX, age),
         alive_age_ms: if tracker.last_alive.is_zero() { u16::MAX } else { age(tracker.last_alive) },
     }
 }
--- a/crates/mustardgrade-core/src/cookie/observed_flows.rs
+++ b/crates/mustardgrade-core/src/cookie/observed_flows.rs
@@ -39,18 +39,22 @@
     pub last_seen: Duration,
     /// Acknowledgement number of the last packet that acknowledged new bytes.
     pub last_acknowledgement: u32,
+    /// Sequence number of the first payload that this host may have forwarded.
+    pub first_sequence: u32,
     /// Sequence number that follows the last payload seen.
     pub next_sequence: u32,
     /// Whether the caller has sent any payload, or may have before the host first saw the flow.
     pub has_carried_data: bool,
     /// When the pending request was forwarded; `None` if no request is unanswered.
     pub request_sent_at: Option<Duration>,
+    /// When new payload was last forwarded; zero if none was.
+    pub last_data_sent_at: Duration,
     /// Whether the flow's opening or request is counted as in flight at its upstream.
     pub is_counted_in_flight: bool,
     /// Whether the flow's pending request is counted as unanswered at its upstream.
     pub is_counted_unanswered: bool,
-    /// Whether this host has observed the first packet after the opening. Its cookie and its
-    /// acknowledgement come from the upstream that holds the flow.
+    /// Whether this host has observed the caller's acknowledgement of the opening. Its cookie comes
+    /// from the upstream that holds the flow.
     pub is_holder_observed: bool,
     /// Since when the caller's packets have carried the cookie of another upstream.
     pub foreign_cookie_since: Option<Duration>,
@@ -66,9 +70,11 @@
             opened_at: now,
             last_seen: now,
             last_acknowledgement: 0,
+            first_sequence: segment.sequence.wrapping_add(1),
             next_sequence: segment.sequence.wrapping_add(1),
             has_carried_data: false,
             request_sent_at: None,
+            last_data_sent_at: Duration::ZERO,
             is_counted_in_flight: true,
             is_counted_unanswered: false,
             is_holder_observed: false,
@@ -85,9 +91,11 @@
             opened_at: now,
             last_seen: now,
             last_acknowledgement: segment.acknowledgement,
+            first_sequence: segment.sequence,
             next_sequence: segment.sequence,
             has_carried_data: true,
             request_sent_at: None,
+            last_data_sent_at: Duration::ZERO,
             is_counted_in_flight: false,
             is_counted_unanswered: false,
             is_holder_observed: false,
@@ -102,10 +110,14 @@
         self.next_sequence.wrapping_sub(first_sequence) < MAX_SEQUENCE_ADVANCE
     }
 
-    /// Returns whether a packet is the first one of the caller after this flow's opening.
+    /// Returns whether a packet is the caller's acknowledgement of this flow's opening, by which it
+    /// accepts the upstream of the cookie. Later packets may carry that of another upstream.
     #[must_use]
-    pub(super) fn is_followed_up_by(&self, packet: &FlowPacket) -> bool {
-        self.stage == FlowStage::Opening && packet.sequence == self.next_sequence
+    pub(super) fn is_accepted_by(&self, packet: &FlowPacket, cookie: FlowCookie) -> bool {
+        self.stage == FlowStage::Opening
+            && packet.sequence == self.next_sequence
+            && packet.payload_length == 0
+            && self.cookie == cookie
     }
 
     /// Returns whether a packet acknowledges what the upstream that holds the flow has sent, and
--- a/crates/mustardgrade-core/src/cookie/openings.rs
+++ b/crates/mustardgrade-core/src/cookie/openings.rs
@@ -13,10 +13,6 @@
 /// Time for which a refused opening is remembered; a caller's attempt ends sooner.
 const REFUSAL_RETENTION: Duration = Duration::from_secs(2);
 
-/// Time for which an opening may have waited at this host before a retransmission may have passed
-/// another one.
-const MAX_REFUSAL_DELAY: Duration = Duration::from_millis(150);
-
 /// `QueuedOpening` is a forwarded opening whose timeout has not been processed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct QueuedOpening {
@@ -130,8 +126,7 @@
         now: Duration,
     ) -> CookieVerdict {
         let knows_earlier_transmissions = self.note_refusal(segment, now);
-        let may_have_waited = now.saturating_sub(self.drained_at) > MAX_REFUSAL_DELAY;
-        match knows_earlier_transmissions && !may_have_waited {
+        match knows_earlier_transmissions && !self.has_stalled {
             true => CookieVerdict::Reset(cause),
             false => CookieVerdict::Drop(CookieDropCause::MayBeOpen),
         }
@@ -257,7 +252,7 @@
             return;
         }
         let counted_in_flight = std::mem::take(&mut flow.is_counted_in_flight);
-        let Some(index) = self.snapshot.upstream_index(flow.cookie) else { return };
+        let Some(index) = self.snapshot.running_index(flow.cookie) else { return };
         // The opening no longer counts as in flight, since its caller may have given up.
         let pending_openings = &mut self.trackers[index].pending_openings;
         *pending_openings = pending_openings.saturating_sub(u32::from(counted_in_flight));
--- a/crates/mustardgrade-core/src/cookie/resets.rs
+++ b/crates/mustardgrade-core/src/cookie/resets.rs
@@ -10,6 +10,22 @@
 use crate::flow::{FlowKey, FlowPacket};
 use crate::registry::RetryPolicy;
 
+/// `OwnEvidence` is what a host itself has found unanswered at the upstream of a flow. Reports of
+/// other hosts may be wrong, so they do not suffice to break a flow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum OwnEvidence {
+    /// Nothing, or too long ago.
+    Missing,
+    /// A request of this flow.
+    ThisFlow {
+        /// When its last new payload was forwarded.
+        since: Duration,
+    },
+    /// So many flows that others may be reset. Under a fabric that sprays packets, a host rarely
+    /// sees retransmissions, so no evidence is asked of it.
+    SeveralFlows,
+}
+
 impl CookieRouter {
     /// Returns what this host knows of the upstream of a flow that it resets.
     pub(super) fn reset_evidence(
@@ -54,12 +70,9 @@
         if segment.payload_length == 0 || route.config.retry_policy != RetryPolicy::Idempotent {
             return false;
         }
-        // With a fabric that sprays packets, a host rarely sees the retransmissions of a flow.
-        let own = self.trackers[index].without_expired_requests(options, now);
-        let has_evidence = self.options.fabric == FabricKind::Any
-            || own.has_own_evidence(options, now)
-            || self.flows.get(&segment.key).is_some_and(|flow| flow.is_counted_unanswered);
-        if !has_evidence || !own.merged_with_peers(self.peer_loads[index]).is_silent(options, now) {
+        let of_all_hosts = self.trackers[index].merged_with_peers(self.peer_loads[index]);
+        let evidence = self.own_evidence(index, &segment.key, now);
+        if evidence == OwnEvidence::Missing || !of_all_hosts.is_silent(options, now) {
             return false;
         }
         let service = snapshot.upstreams[index].service;
@@ -73,30 +86,56 @@
         alternatives.filter(is_alive).count() >= 1
     }
 
-    /// Returns whether an open flow of an upstream that has no entry may be ended: this host has
-    /// found a request to the upstream unanswered.
+    /// Returns what this host itself has found unanswered at a flow's upstream, if no host has been
+    /// answered since.
+    fn own_evidence(&self, index: usize, key: &FlowKey, now: Duration) -> OwnEvidence {
+        let options = &self.options.failure_detection;
+        let tracker = &self.trackers[index];
+        if self.options.fabric == FabricKind::Any {
+            return OwnEvidence::SeveralFlows;
+        }
+        if tracker.unanswered_requests == 0 && tracker.presumed_unanswered_flows == 0 {
+            return OwnEvidence::Missing;
+        }
+        let own = tracker
+            .without_expired_requests(options, now)
+            .cleared_by_answer(self.peer_loads[index].last_alive);
+        if own.has_own_evidence(options, now) {
+            return OwnEvidence::SeveralFlows;
+        }
+        let flow = self.flows.get(key).filter(|flow| flow.is_counted_unanswered);
+        match flow.filter(|_| own.unanswered_requests > 0) {
+            Some(flow) => OwnEvidence::ThisFlow { since: flow.last_data_sent_at },
+            None => OwnEvidence::Missing,
+        }
+    }
+
+    /// Returns whether an open flow of an upstream that has no entry may be ended: its request, or
+    /// those of several other flows, have stayed unanswered at this host.
     ///
     /// The entry alone does not show it: an upstream that was cut off from the store, or that a
-    /// restored store has lost, may answer all the while. With a fabric that sprays packets, a host
-    /// rarely sees the retransmissions of a flow, so no answer since the removal has to do.
-    pub(super) fn is_gone_for_open_flows(
+    /// restored store has lost, may answer all the while. With a fabric that sprays packets, no
+    /// answer since the removal has to do.
+    pub(super) fn may_end_flow_without_entry(
         &self,
         index: usize,
-        key: &FlowKey,
+        segment: &FlowPacket,
         now: Duration,
     ) -> bool {
         let options = &self.options.failure_detection;
-        let own = self.trackers[index].without_expired_requests(options, now);
-        let of_all_hosts = own.merged_with_peers(self.peer_loads[index]);
-        let gone_at = self.snapshot.upstreams[index].gone_at.unwrap_or(Duration::MAX);
-        match self.options.fabric {
-            FabricKind::Any => of_all_hosts.last_alive <= gone_at,
-            FabricKind::Hash => {
-                let has_evidence = own.recent_unanswered_requests(options, now) > 0
-                    || self.flows.get(key).is_some_and(|flow| flow.is_counted_unanswered);
-                has_evidence && of_all_hosts.has_lasting_unanswered_request(options, now)
-            }
+        let of_all_hosts = self.trackers[index].merged_with_peers(self.peer_loads[index]);
+        if self.options.fabric == FabricKind::Any {
+            let gone_at = self.snapshot.upstreams[index].gone_at;
+            return gone_at.is_some_and(|gone_at| of_all_hosts.last_alive <= gone_at);
         }
+        let has_lasted = match self.own_evidence(index, &segment.key, now) {
+            OwnEvidence::Missing => false,
+            OwnEvidence::ThisFlow { since } => now.saturating_sub(since) >= options.silence_timeout,
+            OwnEvidence::SeveralFlows => true,
+        };
+        has_lasted
+            && segment.payload_length > 0
+            && of_all_hosts.has_lasting_unanswered_request(options, now)
     }
 
     /// Ends a flow whose upstream is gone; the caller gets a reset only if it can safely repeat its
--- a/crates/mustardgrade-core/src/cookie/router.rs
+++ b/crates/mustardgrade-core/src/cookie/router.rs
@@ -23,6 +23,10 @@
 /// Interval at which idle flows are removed from the flow table.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time without any routing after which the host counts as stalled: openings that waited may have
+/// been retransmitted to another host meanwhile.
+const MIN_STALL: Duration = Duration::from_millis(150);
+
 /// Time for which a packet may have waited at this host before its caller may have turned to another
 /// host. What such a packet shows of an upstream is out of date.
 const MAX_PACKET_DELAY: Duration = Duration::from_millis(250);
@@ -84,6 +88,10 @@
     /// When all packets received so far were last known to be routed. A packet routed since then
     /// was received after this time.
     pub(super) drained_at: Duration,
+    /// When the router was last called.
+    pub(super) last_called_at: Duration,
+    /// Whether the host has stalled since its socket was last known to be empty.
+    pub(super) has_stalled: bool,
     pub(super) last_expiry: Duration,
     pub(super) utilisation: f64,
     pub(super) load_estimator: LoadEstimator,
@@ -110,6 +118,8 @@
             counters: CookieCounters::default(),
             events: Vec::new(),
             drained_at: Duration::ZERO,
+            last_called_at: Duration::ZERO,
+            has_stalled: false,
             last_expiry: Duration::ZERO,
             utilisation: 0.0,
             load_estimator: LoadEstimator::default(),
@@ -179,6 +189,7 @@
     /// Routes one packet of a caller and counts the verdict.
     pub fn route(&mut self, packet: &CookiePacket, now: Duration) -> CookieVerdict {
         let snapshot = Arc::clone(&self.snapshot);
+        self.note_call(now);
         let verdict = match snapshot.is_loaded {
             false => {
                 if packet.segment.opens_flow() {
@@ -202,6 +213,8 @@
             self.mark_openings_delayed();
         }
         self.drained_at = now;
+        self.last_called_at = now;
+        self.has_stalled = false;
         self.time_out_openings(now);
         self.expire_pending_requests(now);
         if now.saturating_sub(self.last_expiry) >= EXPIRY_INTERVAL {
@@ -211,6 +224,11 @@
         }
     }
 
+    fn note_call(&mut self, now: Duration) {
+        self.has_stalled |= now.saturating_sub(self.last_called_at) > MIN_STALL;
+        self.last_called_at = now;
+    }
+
     /// Returns whether a packet that is routed now may have waited too long at this host to show
     /// anything about its upstream.
     pub(super) fn is_delayed(&self, now: Duration) -> bool {
@@ -257,7 +275,7 @@
             return CookieVerdict::Drop(CookieDropCause::ForeignCookie);
         }
         self.observe_segment(index, packet, view.cookie, now);
-        if view.is_gone(now) && self.is_gone_for_open_flows(index, &segment.key, now) {
+        if view.is_gone(now) && self.may_end_flow_without_entry(index, segment, now) {
             return self.end_gone_flow(route, segment);
         }
         if self.should_reset_silent(snapshot, route, index, segment, now) {
@@ -289,7 +307,7 @@
 
 /// Removes a flow from the counts of its upstream's tracker.
 fn uncount_flow(snapshot: &CookieSnapshot, trackers: &mut [UpstreamTracker], flow: &ObservedFlow) {
-    let Some(index) = snapshot.upstream_index(flow.cookie) else { return };
+    let Some(index) = snapshot.running_index(flow.cookie) else { return };
     let tracker = &mut trackers[index];
     let counted_in_flight = u32::from(flow.is_counted_in_flight);
     match flow.stage {
--- a/crates/mustardgrade-core/src/cookie/snapshot.rs
+++ b/crates/mustardgrade-core/src/cookie/snapshot.rs
@@ -15,7 +15,7 @@
 /// outage.
 const SPURIOUS_REMOVAL_GRACE_PERIOD: Duration = Duration::from_millis(2_200);
 
-/// Time after the removal of an upstream before its open flows are ended; delayed registry updates
+/// Time after the removal of an upstream before its open flows may be ended; delayed registry updates
 /// arrive within it.
 const REMOVAL_GRACE_PERIOD: Duration = Duration::from_millis(2_500);
 
@@ -47,7 +47,7 @@
     pub cold_until: Duration,
     /// Time until which it accepts new flows.
     pub accepts_until: Duration,
-    /// Time from which it counts as gone and its flows are ended.
+    /// Time from which it counts as gone; its open flows may then be ended if it does not answer.
     pub gone_at: Option<Duration>,
     /// Requests per second that it can handle while cold.
     pub cold_rate: f64,
@@ -71,7 +71,8 @@
         now < self.cold_until
     }
 
-    /// Returns whether the upstream is gone, so that its open flows are to be ended.
+    /// Returns whether the upstream counts as gone, so that its open flows may be ended if it does not
+    /// answer.
     #[must_use]
     pub fn is_gone(&self, now: Duration) -> bool {
         self.gone_at.is_some_and(|at| now >= at)
@@ -120,6 +121,12 @@
     pub fn upstream_index(&self, cookie: FlowCookie) -> Option<usize> {
         self.upstreams_by_cookie.get(&cookie).copied()
     }
+
+    /// Returns the index of the upstream whose present run a cookie identifies, if it is known.
+    #[must_use]
+    pub(super) fn running_index(&self, cookie: FlowCookie) -> Option<usize> {
+        self.upstream_index(cookie).filter(|index| self.upstreams[*index].cookie == cookie)
+    }
 }
 
 /// `SnapshotContext` holds the inputs of a snapshot besides the registry.
--- a/crates/mustardgrade-core/src/cookie/tests/evidence.rs
+++ b/crates/mustardgrade-core/src/cookie/tests/evidence.rs
@@ -271,3 +271,86 @@
         answer_from_2(&mut router, at_ms + 5);
     }
 }
+
+#[test]
+fn evidence_that_another_host_has_refuted_resets_no_other_flow() {
+    let mut router = router_with_two_upstreams();
+    leave_requests_unanswered(&mut router, &[1, 2, 3, 4], DESK_ROUTE);
+    answer_from_2(&mut router, 2_200);
+    // One host had an answer at 1,400 ms; another has six flows unanswered since 1,500 ms.
+    let answered = report_of_1(0, u16::MAX, 800);
+    install_reports(&mut router, &[answered, report_of_1(6, 700, u16::MAX)], 2_200);
+    assert_eq!(routed_tag(&mut router, &request_to_1(7), ms(2_210)), 1);
+}
+
+#[test]
+fn age_of_openings_at_other_hosts_is_not_that_of_requests() {
+    let mut router = router_with_two_upstreams();
+    leave_requests_unanswered(&mut router, &[1], DESK_ROUTE);
+    answer_from_2(&mut router, 1_205);
+    // Sent at 1,010 ms, so silent from 1,460 ms on. Others: an old opening and three recent requests.
+    let mut report = report_of_1(4, 1_000, u16::MAX);
+    report.entries[0].unanswered_requests = 3;
+    report.entries[0].requests_age_ms = 210;
+    install_reports(&mut router, &[report], 1_211);
+    assert_eq!(routed_tag(&mut router, &request_to_1(1), ms(1_212)), 1);
+}
+
+#[test]
+fn restarted_upstream_is_not_blamed_for_openings_of_its_former_run() {
+    let mut registry = TestRegistry::new();
+    registry.add_upstreams("desk", "a", 1..2);
+    let mut router = registry.router();
+    router.process_timeouts(ms(990));
+    for caller in 0..4 {
+        routed_tag(&mut router, &syn_packet(flow_key(caller, DESK_ROUTE), 0), ms(1_000));
+    }
+    let mut again = upstream_registration("desk", "a", 1);
+    again.incarnation += 10_000;
+    registry.register(&again, ms(1_010));
+    registry.install_into(&mut router);
+    routed_tag(&mut router, &syn_packet(flow_key(9, DESK_ROUTE), 0), ms(1_020));
+    router.process_timeouts(ms(1_060));
+    router.process_timeouts(ms(1_080));
+    let tracker = router.trackers()[0];
+    assert_eq!((tracker.unanswered_flows, tracker.in_flight()), (0, 1));
+}
+
+#[test]
+fn earlier_packet_of_a_request_that_another_host_lost_is_no_evidence() {
+    let mut router = router_with_two_upstreams();
+    // The host that had the flow stops; of a request of two packets, this one gets the second.
+    let part = |sequence| {
+        let key = flow_key(1, DESK_ROUTE);
+        established_packet(key, cookie_of_upstream_1(), sequence, 1, 1_200)
+    };
+    routed_tag(&mut router, &part(1_301), ms(1_000));
+    router.process_timeouts(ms(1_190));
+    // The first one is repeated; the upstream gets it now for the first time.
+    routed_tag(&mut router, &part(101), ms(1_200));
+    assert_eq!(router.trackers()[0].unanswered_requests, 0);
+}
+
+#[test]
+fn withdrawn_request_does_not_lend_its_age_to_others() {
+    let mut router = router_with_two_upstreams();
+    let packet = |caller, sequence| {
+        let key = flow_key(caller, DESK_ROUTE);
+        established_packet(key, cookie_of_upstream_1(), sequence, 1, 1_200)
+    };
+    // Flow 1: sent at 1,000 ms, repeated, taken back by new data at 1,950 ms.
+    router.route(&packet(1, 101), ms(1_000));
+    router.process_timeouts(ms(1_190));
+    router.route(&packet(1, 101), ms(1_200));
+    for caller in 2..6 {
+        router.route(&packet(caller, 101), ms(1_700));
+    }
+    router.process_timeouts(ms(1_890));
+    for caller in 2..5 {
+        router.route(&packet(caller, 101), ms(1_900));
+    }
+    router.route(&packet(1, 1_301), ms(1_950));
+    answer_from_2(&mut router, 1_960);
+    // The fourth request of those that count is from 1,700 ms: 450 ms end at 2,150 ms.
+    assert_eq!(routed_tag(&mut router, &packet(5, 101), ms(1_970)), 1);
+}
--- a/crates/mustardgrade-core/src/cookie/tests/fixtures.rs
+++ b/crates/mustardgrade-core/src/cookie/tests/fixtures.rs
@@ -236,6 +236,7 @@
         unanswered_flows,
         unanswered_requests: unanswered_flows,
         unanswered_age_ms,
+        requests_age_ms: unanswered_age_ms,
         alive_age_ms,
     };
     LoadReport { entries: vec![entry], ..LoadReport::default() }
--- a/crates/mustardgrade-core/src/cookie/tests/late_openings.rs
+++ b/crates/mustardgrade-core/src/cookie/tests/late_openings.rs
@@ -80,3 +80,17 @@
         routed_tag(&mut router, &reused, ms(1_030));
     }
 }
+
+#[test]
+fn busy_host_still_refuses_at_once() {
+    let mut router = router_without_archive();
+    // The socket is never empty: a packet is routed each 5 ms, as soon as it has come.
+    for step in 0..80 {
+        let cookie = cookie_of(&upstream_registration("desk", "a", 1));
+        router.route(
+            &established_packet(flow_key(9, DESK_ROUTE), cookie, 101, 1, 0),
+            ms(1_000 + step * 5),
+        );
+    }
+    assert_eq!(router.route(&syn_packet(archive_flow(), 0), ms(1_400)), NO_UPSTREAM);
+}
--- a/crates/mustardgrade-core/src/cookie/tests/upstream_selection.rs
+++ b/crates/mustardgrade-core/src/cookie/tests/upstream_selection.rs
@@ -54,6 +54,7 @@
         unanswered_flows: 0,
         unanswered_requests: 0,
         unanswered_age_ms: u16::MAX,
+        requests_age_ms: u16::MAX,
         alive_age_ms: 10,
     };
     let mut loads = PeerLoads::default();
--- a/crates/mustardgrade-core/src/cookie/tracker.rs
+++ b/crates/mustardgrade-core/src/cookie/tracker.rs
@@ -271,8 +271,10 @@
     }
 
     /// Takes back an unanswered request, since its caller has sent more data after retransmitting.
-    pub fn withdraw_unanswered_request(&mut self) {
+    /// The others count from now on, since the earliest one may be the one taken back.
+    pub fn withdraw_unanswered_request(&mut self, now: Duration) {
         self.unanswered_requests = self.unanswered_requests.saturating_sub(1);
+        self.unanswered_requests_since = now;
     }
 
     /// Returns whether the upstream is suspected of having failed.
@@ -313,6 +315,25 @@
         (rendezvous_score(u64::from(self.cookie.0), since_nanos) % u64::from(hosts)) as u32
     }
 
+    /// Returns the tracker without what the upstream's answer to any host at `alive_at` refutes.
+    #[must_use]
+    pub fn cleared_by_answer(mut self, alive_at: Duration) -> Self {
+        if alive_at <= self.last_alive {
+            return self;
+        }
+        self.last_alive = alive_at;
+        if alive_at >= self.unanswered_since {
+            self.unanswered_flows = 0;
+        }
+        if alive_at >= self.unanswered_requests_since {
+            self.unanswered_requests = 0;
+        }
+        if alive_at >= self.presumed_since {
+            self.presumed_unanswered_flows = 0;
+        }
+        self
+    }
+
     /// Returns the tracker combined with the aggregated load of the other hosts.
     ///
     /// Their reports are a moment old, so each of them is assumed to have added as many requests
@@ -321,18 +342,7 @@
     pub fn merged_with_peers(mut self, peers: PeerLoad) -> Self {
         let added = self.in_flight().saturating_sub(self.reported_in_flight);
         self.pending_requests += peers.in_flight + added * peers.active_hosts;
-        if peers.last_alive > self.last_alive {
-            self.last_alive = peers.last_alive;
-            if peers.last_alive >= self.unanswered_since {
-                self.unanswered_flows = 0;
-            }
-            if peers.last_alive >= self.unanswered_requests_since {
-                self.unanswered_requests = 0;
-            }
-            if peers.last_alive >= self.presumed_since {
-                self.presumed_unanswered_flows = 0;
-            }
-        }
+        self = self.cleared_by_answer(peers.last_alive);
         // Unanswered flows of other hosts count unless the upstream has answered any host since.
         if let Some(peers_since) = peers.unanswered_since.filter(|since| *since > self.last_alive) {
             let since = self.unanswered_since().map_or(peers_since, |own| own.min(peers_since));
--- a/crates/mustardgrade-node/src/cookie_host/traffic_thread.rs
+++ b/crates/mustardgrade-node/src/cookie_host/traffic_thread.rs
@@ -28,9 +28,8 @@
 /// Read timeout while openings or requests await an answer, so that timeouts are processed in time.
 const PENDING_READ_TIMEOUT: Duration = Duration::from_millis(40);
 
-/// Read timeout otherwise; also the maximum delay until a stop takes effect. The router takes a
-/// longer time without a drained socket for a stall of the host, and refuses no openings in silence
-/// before that.
+/// Read timeout otherwise; also the maximum delay until a stop takes effect. It is shorter than the
+/// time without a call after which the router takes the host for stalled.
 const IDLE_READ_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Minimum interval between load reports.
--- a/crates/mustardgrade-standin/src/fleet/tests/restores.rs
+++ b/crates/mustardgrade-standin/src/fleet/tests/restores.rs
@@ -62,7 +62,7 @@
         }
     }
 
-    /// Returns whether any running host ends the open flows of an upstream.
+    /// Returns whether an upstream counts as gone at any running host.
     fn counts_as_gone_anywhere(&self, tag: u64) -> bool {
         all_hosts(self).into_iter().any(|host| {
             let snapshot = self.controller(host).map(|controller| controller.snapshot());
