Evidence of this host is looked at before the tracker of an upstream is combined with reports

Expired requests are left out of the combined tracker too, as before: they could not decide alone, since the host's own evidence leaves them out. No verdict is meant to change.

--- a/crates/mustardgrade-core/src/cookie/resets.rs
+++ b/crates/mustardgrade-core/src/cookie/resets.rs
@@ -7,6 +7,7 @@
 use super::packet::{CookieVerdict, ResetEvidence};
 use super::router::{CookieRouter, FabricKind};
 use super::snapshot::{CookieRoute, CookieSnapshot};
+use super::tracker::UpstreamTracker;
 use crate::flow::{FlowKey, FlowPacket};
 use crate::registry::RetryPolicy;
 
@@ -34,7 +35,7 @@
         now: Duration,
     ) -> Option<ResetEvidence> {
         let index = self.snapshot.upstream_index(cookie)?;
-        let tracker = self.trackers[index].merged_with_peers(self.peer_loads[index]);
+        let tracker = self.tracker_of_all_hosts(index, now);
         let age = |at: Duration| (!at.is_zero()).then(|| now.saturating_sub(at));
         Some(ResetEvidence {
             unanswered_flows: tracker.unanswered_flows,
@@ -70,9 +71,9 @@
         if segment.payload_length == 0 || route.config.retry_policy != RetryPolicy::Idempotent {
             return false;
         }
-        let of_all_hosts = self.trackers[index].merged_with_peers(self.peer_loads[index]);
-        let evidence = self.own_evidence(index, &segment.key, now);
-        if evidence == OwnEvidence::Missing || !of_all_hosts.is_silent(options, now) {
+        if self.own_evidence(index, &segment.key, now) == OwnEvidence::Missing
+            || !self.tracker_of_all_hosts(index, now).is_silent(options, now)
+        {
             return false;
         }
         let service = snapshot.upstreams[index].service;
@@ -86,6 +87,13 @@
         alternatives.filter(is_alive).count() >= 1
     }
 
+    /// Returns the tracker of an upstream with what the other hosts report of it.
+    fn tracker_of_all_hosts(&self, index: usize, now: Duration) -> UpstreamTracker {
+        self.trackers[index]
+            .without_expired_requests(&self.options.failure_detection, now)
+            .merged_with_peers(self.peer_loads[index])
+    }
+
     /// Returns what this host itself has found unanswered at a flow's upstream, if no host has been
     /// answered since.
     fn own_evidence(&self, index: usize, key: &FlowKey, now: Duration) -> OwnEvidence {
@@ -123,10 +131,10 @@
         now: Duration,
     ) -> bool {
         let options = &self.options.failure_detection;
-        let of_all_hosts = self.trackers[index].merged_with_peers(self.peer_loads[index]);
         if self.options.fabric == FabricKind::Any {
+            let last_alive = self.tracker_of_all_hosts(index, now).last_alive;
             let gone_at = self.snapshot.upstreams[index].gone_at;
-            return gone_at.is_some_and(|gone_at| of_all_hosts.last_alive <= gone_at);
+            return gone_at.is_some_and(|gone_at| last_alive <= gone_at);
         }
         let has_lasted = match self.own_evidence(index, &segment.key, now) {
             OwnEvidence::Missing => false,
@@ -135,7 +143,7 @@
         };
         has_lasted
             && segment.payload_length > 0
-            && of_all_hosts.has_lasting_unanswered_request(options, now)
+            && self.tracker_of_all_hosts(index, now).has_lasting_unanswered_request(options, now)
     }
 
     /// Ends a flow whose upstream is gone; the caller gets a reset only if it can safely repeat its
