--- a/crates/mustardgrade-core/src/cookie/tests/evidence.rs
+++ b/crates/mustardgrade-core/src/cookie/tests/evidence.rs
@@ -331,6 +331,19 @@
     assert_eq!(router.trackers()[0].unanswered_requests, 0);
 }
 
+#[test]
+fn request_that_its_caller_gave_up_is_withdrawn() {
+    let mut router = router_with_two_upstreams();
+    leave_requests_unanswered(&mut router, &[1, 2, 3, 4], DESK_ROUTE);
+    for caller in [1, 2, 3, 4] {
+        let mut closing = request_to_1(caller);
+        (closing.segment.payload_length, closing.segment.flags.rst) = (0, true);
+        router.route(&closing, ms(1_300));
+    }
+    answer_from_2(&mut router, 1_650);
+    assert_eq!(routed_tag(&mut router, &request_to_1(7), ms(1_650)), 1);
+}
+
 #[test]
 fn withdrawn_request_does_not_lend_its_age_to_others() {
     let mut router = router_with_two_upstreams();
