Log and metrics tell a host that hears late from an upstream that is silent

Lines of openings, refusals and drops, which grow with the load, crowded resets out of the log. Added: delayed_ms in the line, cookie_packets_delayed_total, and a lower limit for the kinds of line that grow with the load. No decision changes.

--- a/crates/mustardgrade-core/src/cookie/counters.rs
+++ b/crates/mustardgrade-core/src/cookie/counters.rs
@@ -91,6 +91,9 @@
     /// Unanswered openings that are no evidence against their upstream, since they were delayed at
     /// this host itself.
     pub openings_delayed: u64,
+    /// Packets that may have waited at this host for so long that their callers have turned to
+    /// another one.
+    pub packets_delayed: u64,
     /// Openings assigned to a cold upstream.
     pub flows_opened_cold: u64,
     /// Openings assigned to an upstream in another data centre.
--- a/crates/mustardgrade-core/src/cookie/packet.rs
+++ b/crates/mustardgrade-core/src/cookie/packet.rs
@@ -63,6 +63,9 @@
     pub last_unanswered_request_age: Option<Duration>,
     /// Time for which the upstream has counted as gone.
     pub gone_for: Option<Duration>,
+    /// Time since this host last routed a packet that may have waited too long at the host itself;
+    /// `None` if it never did. Within the silence, the host may have missed answers.
+    pub last_delayed_packet_age: Option<Duration>,
 }
 
 /// `FlowEvent` is a decision or an observation to be logged, or a latency to be recorded in a
--- a/crates/mustardgrade-core/src/cookie/resets.rs
+++ b/crates/mustardgrade-core/src/cookie/resets.rs
@@ -44,6 +44,7 @@
             silence: age(tracker.last_alive),
             last_unanswered_request_age: age(tracker.last_unanswered_request),
             gone_for: self.snapshot.upstreams[index].gone_at.and_then(|at| now.checked_sub(at)),
+            last_delayed_packet_age: age(self.last_delayed_packet),
         })
     }
 
--- a/crates/mustardgrade-core/src/cookie/router.rs
+++ b/crates/mustardgrade-core/src/cookie/router.rs
@@ -92,6 +92,8 @@
     pub(super) last_called_at: Duration,
     /// Whether the host has stalled since its socket was last known to be empty.
     pub(super) has_stalled: bool,
+    /// When a packet that may have waited too long at this host was last routed.
+    pub(super) last_delayed_packet: Duration,
     pub(super) last_expiry: Duration,
     pub(super) utilisation: f64,
     pub(super) load_estimator: LoadEstimator,
@@ -120,6 +122,7 @@
             drained_at: Duration::ZERO,
             last_called_at: Duration::ZERO,
             has_stalled: false,
+            last_delayed_packet: Duration::ZERO,
             last_expiry: Duration::ZERO,
             utilisation: 0.0,
             load_estimator: LoadEstimator::default(),
@@ -190,6 +193,10 @@
     pub fn route(&mut self, packet: &CookiePacket, now: Duration) -> CookieVerdict {
         let snapshot = Arc::clone(&self.snapshot);
         self.note_call(now);
+        if self.is_delayed(now) {
+            self.counters.packets_delayed += 1;
+            self.last_delayed_packet = now;
+        }
         let verdict = match snapshot.is_loaded {
             false => {
                 if packet.segment.opens_flow() {
--- a/crates/mustardgrade-core/src/cookie/tests/evidence.rs
+++ b/crates/mustardgrade-core/src/cookie/tests/evidence.rs
@@ -196,6 +196,7 @@
         silence: None,
         last_unanswered_request_age: Some(ms(439)),
         gone_for: None,
+        last_delayed_packet_age: None,
     };
     let evidence_of = |event: &FlowEvent| match event {
         FlowEvent::Reset { evidence, .. } => *evidence,
--- a/crates/mustardgrade-node/src/cookie_host/flow_log.rs
+++ b/crates/mustardgrade-node/src/cookie_host/flow_log.rs
@@ -7,9 +7,13 @@
 
 use crate::logging::{LogDecision, LogRateLimiter};
 
-/// Maximum number of lines per kind and second.
+/// Maximum number of lines per second of a kind that tells of a fault or a change of state.
 const MAX_LINES_PER_SECOND: u32 = 20;
 
+/// Maximum number of lines per second of a kind that grows with the load. They share the log with
+/// the others, which must not be lost in an overload.
+const MAX_ROUTINE_LINES_PER_SECOND: u32 = 5;
+
 /// `FlowLog` writes the decisions of a traffic thread to the log, with a rate limit per kind.
 #[derive(Debug)]
 pub(super) struct FlowLog {
@@ -25,14 +29,15 @@
 impl FlowLog {
     pub(super) fn new() -> Self {
         let limiter = LogRateLimiter::new(MAX_LINES_PER_SECOND);
+        let routine = LogRateLimiter::new(MAX_ROUTINE_LINES_PER_SECOND);
         Self {
-            opened: limiter,
+            opened: routine,
             redirected: limiter,
-            refused: limiter,
+            refused: routine,
             reset: limiter,
             liveness: limiter,
             reachability: limiter,
-            dropped: limiter,
+            dropped: routine,
         }
     }
 
@@ -81,6 +86,7 @@
                 silent_ms = millis(evidence.silence),
                 evidence_ms = millis(evidence.last_unanswered_request_age),
                 gone_ms = millis(evidence.gone_for),
+                delayed_ms = millis(evidence.last_delayed_packet_age),
                 version, revision, omitted; "flow reset"
             ),
             FlowEvent::CookieCorrected { key, from, to } => log::info!(
--- a/crates/mustardgrade-node/src/metrics/registry.rs
+++ b/crates/mustardgrade-node/src/metrics/registry.rs
@@ -300,6 +300,11 @@
                 "Unanswered openings that the host itself had delayed",
                 cookie.openings_delayed,
             ),
+            (
+                "cookie_packets_delayed",
+                "Packets that had waited too long at the host itself",
+                cookie.packets_delayed,
+            ),
             (
                 "cookie_corrected",
                 "Packets whose cookie named another upstream than the one that holds the flow",
