--- a/crates/mustardgrade-core/src/cookie/tests/evidence.rs
+++ b/crates/mustardgrade-core/src/cookie/tests/evidence.rs
@@ -368,3 +368,42 @@
     // The fourth request of those that count is from 1,700 ms: 450 ms end at 2,150 ms.
     assert_eq!(routed_tag(&mut router, &packet(5, 101), ms(1_970)), 1);
 }
+
+/// Guards against resets by an overloaded host: the answers that it missed while packets waited.
+#[test]
+fn host_that_hears_late_resets_no_open_flow() {
+    let mut router = router_with_two_upstreams();
+    for caller in 1..6 {
+        answer_opening(&mut router, caller, 1, 1_000);
+    }
+    // From here on packets wait in the socket. Upstream 1 answers another flow all the while.
+    for step in 0..80 {
+        let key = flow_key(40, DESK_ROUTE);
+        let cookie = cookie_of_upstream_1();
+        let at_ms = 1_000 + u64::from(step) * 10;
+        router.route(&established_packet(key, cookie, 101, 1 + step, 0), ms(at_ms));
+        if step == 30 {
+            for caller in 1..5 {
+                assert_eq!(routed_tag(&mut router, &request_to_1(caller), ms(at_ms)), 1);
+            }
+        }
+    }
+    answer_from_2(&mut router, 1_800);
+    for caller in 1..5 {
+        assert_eq!(routed_tag(&mut router, &request_to_1(caller), ms(1_810)), 1);
+    }
+    assert_eq!(routed_tag(&mut router, &request_to_1(5), ms(1_820)), 1);
+}
+
+/// Guards against resets of flows whose upstream works for longer than any fixed timeout.
+#[test]
+fn slow_upstream_keeps_its_open_flows() {
+    let mut router = router_with_two_upstreams();
+    leave_requests_unanswered(&mut router, &[1, 2, 3, 4], DESK_ROUTE);
+    for at_ms in [1_650, 2_000, 2_500] {
+        answer_from_2(&mut router, at_ms);
+        for caller in 1..6 {
+            assert_eq!(routed_tag(&mut router, &request_to_1(caller), ms(at_ms)), 1);
+        }
+    }
+}
