An overloaded host reads ahead, routes open flows first and sheds openings that have waited

Cause: packets waited in the socket in the order of their arrival. The host could not tell how long, heard callers' acknowledgements late, and refused openings whose retransmission may have opened the flow at another host: only a pause of the thread counted as a delay, not a backlog without a pause. Now a thread that has not seen its socket empty for 20 ms reads all that has come, knows of each packet after when it came, routes packets of open flows first, and drops an opening that has waited for over 100 ms; its caller sends it again. A refusal is a reset only if the opening cannot have been sent again meanwhile. Failed before: refused_opening_that_waited_at_an_overloaded_host_is_not_reset. busy_host_still_refuses_at_once now says that its packets did not wait, which the router had to guess. openings_that_waited_for_a_suspended_host_raise_no_suspicion accepts openings that are shed: each of the 12 is either shed or forwarded as delayed, and the upstream gets no other.

--- a/crates/mustardgrade-core/src/cookie/counters.rs
+++ b/crates/mustardgrade-core/src/cookie/counters.rs
@@ -29,6 +29,9 @@
     /// The opening arrived after packets of the flow that it has opened.
     #[display("already_open")]
     AlreadyOpen,
+    /// The opening has waited for too long at this host, which receives more than it can route.
+    #[display("overloaded")]
+    Overloaded,
 }
 
 /// `ResetCause` is the reason why a reset was sent to a caller.
--- a/crates/mustardgrade-core/src/cookie/mod.rs
+++ b/crates/mustardgrade-core/src/cookie/mod.rs
@@ -3,6 +3,7 @@
 //! Each packet of an open flow carries a cookie that identifies its upstream and that both
 //! endpoints echo, so any host can route the packet without per-flow state (Cheetah, NSDI 2020).
 
+mod backlog;
 mod counters;
 mod flow_cookie;
 mod holders;
@@ -19,6 +20,7 @@
 mod tracker;
 mod utilisation;
 
+pub use backlog::{DuePacket, PacketBacklog, WaitingPacket};
 pub use counters::{CookieCounters, CookieDropCause, ResetCause};
 pub use flow_cookie::FlowCookie;
 pub use load::{LoadEntry, LoadReport, PeerLoad, PeerLoads};
--- a/crates/mustardgrade-core/src/cookie/observe.rs
+++ b/crates/mustardgrade-core/src/cookie/observe.rs
@@ -151,7 +151,7 @@
         // A caller that could send more data since its request began was acknowledged meanwhile.
         let sent_at = flow.last_data_sent_at;
         // The retransmission may have waited at this host together with the request.
-        let min_age = self.drained_at.saturating_sub(sent_at);
+        let min_age = self.received_after.saturating_sub(sent_at);
         if !flow.is_counted_unanswered && min_age >= MIN_RETRANSMISSION_AGE {
             flow.is_counted_unanswered = true;
             self.record_unanswered(index, AnswerStage::Request, sent_at, now);
@@ -172,7 +172,7 @@
     /// Returns the time that counts as the arrival of a packet that is routed now: the earliest
     /// possible one if the packet may have been delayed at this host.
     fn assumed_arrival(&self, now: Duration) -> Duration {
-        if self.is_delayed(now) { self.drained_at } else { now }
+        if self.is_delayed(now) { self.received_after } else { now }
     }
 
     pub(super) fn record_alive(&mut self, index: usize, alive_at: Duration) {
--- a/crates/mustardgrade-core/src/cookie/openings.rs
+++ b/crates/mustardgrade-core/src/cookie/openings.rs
@@ -126,12 +126,20 @@
         now: Duration,
     ) -> CookieVerdict {
         let knows_earlier_transmissions = self.note_refusal(segment, now);
-        match knows_earlier_transmissions && !self.has_stalled {
+        match knows_earlier_transmissions && !self.may_be_retransmitted(now) {
             true => CookieVerdict::Reset(cause),
             false => CookieVerdict::Drop(CookieDropCause::MayBeOpen),
         }
     }
 
+    /// Drops an opening that has waited for too long at this host.
+    pub fn shed_opening(&mut self, packet: &CookiePacket, now: Duration) {
+        self.note_call(now);
+        self.note_refusal(&packet.segment, now);
+        let verdict = CookieVerdict::Drop(CookieDropCause::Overloaded);
+        self.record_verdict(&verdict, packet, now);
+    }
+
     /// Remembers that a transmission of an opening is not forwarded; returns whether this host has
     /// received all earlier ones, and forwarded none.
     pub(super) fn note_refusal(&mut self, segment: &FlowPacket, now: Duration) -> bool {
@@ -203,7 +211,7 @@
         let tracker = &self.trackers[index];
         let is_alive = tracker.last_alive > flow.opened_at;
         // Both transmissions may have waited at this host together; the upstream had no time then.
-        let is_early = self.is_delayed(now) && self.drained_at < flow.opened_at;
+        let is_early = self.is_delayed(now) && self.received_after < flow.opened_at;
         let keeps_upstream = retransmission == 0 || is_alive || is_early;
         Some(PreviousUpstream { index, is_kept: keeps_upstream && view.accepts_flows(now) })
     }
--- a/crates/mustardgrade-core/src/cookie/router.rs
+++ b/crates/mustardgrade-core/src/cookie/router.rs
@@ -85,9 +85,10 @@
     pub(super) request_queue: VecDeque<QueuedRequest>,
     pub(super) counters: CookieCounters,
     pub(super) events: Vec<FlowEvent>,
-    /// When all packets received so far were last known to be routed. A packet routed since then
-    /// was received after this time.
+    /// When all packets received so far were last known to be routed.
     pub(super) drained_at: Duration,
+    /// Time after which the packet that is being routed was received.
+    pub(super) received_after: Duration,
     /// When the router was last called.
     pub(super) last_called_at: Duration,
     /// Whether the host has stalled since its socket was last known to be empty.
@@ -120,6 +121,7 @@
             counters: CookieCounters::default(),
             events: Vec::new(),
             drained_at: Duration::ZERO,
+            received_after: Duration::ZERO,
             last_called_at: Duration::ZERO,
             has_stalled: false,
             last_delayed_packet: Duration::ZERO,
@@ -189,9 +191,22 @@
         }
     }
 
-    /// Routes one packet of a caller and counts the verdict.
+    /// Routes one packet of a caller, which was received since the last call of
+    /// [`process_timeouts`](Self::process_timeouts), and counts the verdict.
     pub fn route(&mut self, packet: &CookiePacket, now: Duration) -> CookieVerdict {
+        self.route_received(packet, self.drained_at, now)
+    }
+
+    /// Routes one packet of a caller, which was received after `received_after`, and counts the
+    /// verdict.
+    pub fn route_received(
+        &mut self,
+        packet: &CookiePacket,
+        received_after: Duration,
+        now: Duration,
+    ) -> CookieVerdict {
         let snapshot = Arc::clone(&self.snapshot);
+        self.received_after = received_after;
         self.note_call(now);
         if self.is_delayed(now) {
             self.counters.packets_delayed += 1;
@@ -213,10 +228,10 @@
 
     /// Processes timeouts of openings and requests, and removes idle flows.
     ///
-    /// Must be called only after all received packets are routed, since packets that show that an
-    /// upstream has answered may be among them.
+    /// Must be called only after all received packets of open flows are routed, since packets that
+    /// show that an upstream has answered may be among them.
     pub fn process_timeouts(&mut self, now: Duration) {
-        if self.is_delayed(now) {
+        if now.saturating_sub(self.drained_at) > MAX_PACKET_DELAY {
             self.mark_openings_delayed();
         }
         self.drained_at = now;
@@ -231,7 +246,7 @@
         }
     }
 
-    fn note_call(&mut self, now: Duration) {
+    pub(super) fn note_call(&mut self, now: Duration) {
         self.has_stalled |= now.saturating_sub(self.last_called_at) > MIN_STALL;
         self.last_called_at = now;
     }
@@ -239,10 +254,21 @@
     /// Returns whether a packet that is routed now may have waited too long at this host to show
     /// anything about its upstream.
     pub(super) fn is_delayed(&self, now: Duration) -> bool {
-        now.saturating_sub(self.drained_at) > MAX_PACKET_DELAY
+        now.saturating_sub(self.received_after) > MAX_PACKET_DELAY
+    }
+
+    /// Returns whether the opening that is routed now may have waited for so long that another
+    /// transmission of it has reached another host.
+    pub(super) fn may_be_retransmitted(&self, now: Duration) -> bool {
+        self.has_stalled || now.saturating_sub(self.received_after) > MIN_STALL
     }
 
-    fn record_verdict(&mut self, verdict: &CookieVerdict, packet: &CookiePacket, now: Duration) {
+    pub(super) fn record_verdict(
+        &mut self,
+        verdict: &CookieVerdict,
+        packet: &CookiePacket,
+        now: Duration,
+    ) {
         match verdict {
             CookieVerdict::Forward { .. } => self.counters.packets_forwarded += 1,
             CookieVerdict::Reset(cause) => {
--- a/crates/mustardgrade-core/src/cookie/tests/mod.rs
+++ b/crates/mustardgrade-core/src/cookie/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of cookie-based routing.
 
 mod allocation;
+mod backlog;
 mod evidence;
 mod failure_detection;
 mod fixtures;
--- a/crates/mustardgrade-node/src/cookie_host/traffic_thread.rs
+++ b/crates/mustardgrade-node/src/cookie_host/traffic_thread.rs
@@ -10,8 +10,8 @@
 use arc_swap::ArcSwap;
 use mustardgrade_core::clock::Clock;
 use mustardgrade_core::cookie::{
-    CookieOptions, CookiePacket, CookieRouter, CookieSnapshot, CookieVerdict, FlowEvent,
-    LoadReport, PeerLoads,
+    CookieOptions, CookiePacket, CookieRouter, CookieSnapshot, CookieVerdict, DuePacket, FlowEvent,
+    LoadReport, PacketBacklog, PeerLoads, WaitingPacket,
 };
 use nix::errno::Errno;
 use nix::sys::socket::{MsgFlags, recv};
@@ -32,6 +32,13 @@
 /// time without a call after which the router takes the host for stalled.
 const IDLE_READ_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Time without an empty socket after which packets are read ahead of routing, so that their waiting
+/// times are known and the urgent ones go first.
+const READ_AHEAD_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Maximum number of packets read ahead.
+const MAX_WAITING_PACKETS: usize = 4_096;
+
 /// Minimum interval between load reports.
 const LOAD_REPORT_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -87,6 +94,8 @@
             events: Vec::new(),
             output: Vec::with_capacity(MAX_DATAGRAM_BYTES),
             read_timeout: Duration::ZERO,
+            socket_empty_at: clock.now(),
+            backlog: PacketBacklog::default(),
             unpublished_iterations: 0,
         };
         thread.run();
@@ -111,6 +120,10 @@
     events: Vec<FlowEvent>,
     output: Vec<u8>,
     read_timeout: Duration,
+    /// When the socket was last known to be empty.
+    socket_empty_at: Duration,
+    /// Packets read ahead.
+    backlog: PacketBacklog,
     unpublished_iterations: u32,
 }
 
@@ -126,6 +139,73 @@
                 Err(error) => self.count_receive_error(&error),
             }
             self.publish_results(now);
+            if now.saturating_sub(self.socket_empty_at) > READ_AHEAD_INTERVAL {
+                self.route_backlog(&mut buffer);
+            }
+        }
+    }
+
+    /// Reads packets ahead and routes them by urgency until none waits.
+    fn route_backlog(&mut self, buffer: &mut [u8]) {
+        loop {
+            let is_socket_empty = self.read_ahead(buffer);
+            self.install_updates();
+            self.route_waiting();
+            if is_socket_empty && !self.backlog.has_established() {
+                self.router.process_timeouts(self.socket_empty_at);
+            }
+            if self.backlog.is_empty() || self.shared.stop_requested.load(Ordering::Relaxed) {
+                return;
+            }
+        }
+    }
+
+    /// Reads the received packets into the backlog; returns whether the socket is empty then.
+    fn read_ahead(&mut self, buffer: &mut [u8]) -> bool {
+        let received_after = self.socket_empty_at;
+        while self.backlog.len() < MAX_WAITING_PACKETS {
+            let checked_at = self.clock.now();
+            match recv(self.socket.as_raw_fd(), buffer, MsgFlags::MSG_DONTWAIT) {
+                Ok(length) => {
+                    self.shared
+                        .last_packet_ms
+                        .store(checked_at.as_millis() as u64, Ordering::Relaxed);
+                    self.push_waiting(&buffer[..length], received_after);
+                }
+                Err(Errno::EAGAIN) => {
+                    self.socket_empty_at = checked_at;
+                    return true;
+                }
+                Err(error) => {
+                    self.count_receive_error(&error.into());
+                    return false;
+                }
+            }
+        }
+        false
+    }
+
+    fn push_waiting(&mut self, datagram: &[u8], received_after: Duration) {
+        let Some(packet) = self.decode(datagram) else { return };
+        self.backlog.push(WaitingPacket { packet, datagram: datagram.to_vec(), received_after });
+    }
+
+    /// Routes waiting packets until none is left or it is time to read ahead again.
+    fn route_waiting(&mut self) {
+        let started_at = self.clock.now();
+        let mut now = started_at;
+        while now.saturating_sub(started_at) < READ_AHEAD_INTERVAL {
+            let Some(due) = self.backlog.pop(now) else { return };
+            match due {
+                DuePacket::Route(waiting) => {
+                    let WaitingPacket { packet, datagram, received_after } = waiting;
+                    let verdict = self.router.route_received(&packet, received_after, now);
+                    self.perform_verdict(verdict, &packet, &datagram);
+                }
+                DuePacket::Shed(waiting) => self.router.shed_opening(&waiting.packet, now),
+            }
+            self.publish_results(now);
+            now = self.clock.now();
         }
     }
 
@@ -138,6 +218,7 @@
             Err(Errno::EAGAIN) => {}
             received => return received.map_err(std::io::Error::from),
         }
+        self.socket_empty_at = checked_at;
         self.router.process_timeouts(checked_at);
         self.update_read_timeout();
         self.socket.recv(buffer)
@@ -180,14 +261,20 @@
 
     fn handle_datagram(&mut self, datagram: &[u8], now: Duration) {
         self.shared.last_packet_ms.store(now.as_millis() as u64, Ordering::Relaxed);
-        let Ok(packet) = self.packet_codec.decode(datagram) else {
-            self.metrics.malformed_datagrams.fetch_add(1, Ordering::Relaxed);
-            return;
-        };
+        let Some(packet) = self.decode(datagram) else { return };
         let verdict = self.router.route(&packet, now);
         self.perform_verdict(verdict, &packet, datagram);
     }
 
+    /// Decodes a datagram from a caller; malformed ones are counted.
+    fn decode(&self, datagram: &[u8]) -> Option<CookiePacket> {
+        let packet = self.packet_codec.decode(datagram);
+        if packet.is_err() {
+            self.metrics.malformed_datagrams.fetch_add(1, Ordering::Relaxed);
+        }
+        packet.ok()
+    }
+
     fn perform_verdict(&mut self, verdict: CookieVerdict, packet: &CookiePacket, datagram: &[u8]) {
         self.output.clear();
         let to = match verdict {
