Silence resets no open flow

Cause: four requests without an answer for 450 ms counted as the end of their upstream. An upstream that is cold, or has work queued before them, takes longer; a host that hears late misses the answers to others. Class: absence of knowledge used as evidence. Silence on all flows at once cannot tell a dead upstream from a slow one, so no count or timeout mends it. Now silence only leads openings elsewhere. A flow is ended for its upstream's sake only if that has announced that it leaves, its entry is gone, and the flow's own request stays unanswered. With the decision go what fed it: counts of unanswered requests, also in load reports, and the presumption that the open flows of an unreachable data centre are lost.

--- a/crates/mustardgrade-core/src/cookie/counters.rs
+++ b/crates/mustardgrade-core/src/cookie/counters.rs
@@ -50,31 +50,22 @@
     /// A manifest removed the route of the open flow.
     #[display("route_dropped")]
     RouteDropped,
-    /// The upstream of the open flow has been removed from the registry.
+    /// The upstream of the open flow has left as announced, and no longer answers.
     #[display("upstream_gone")]
     UpstreamGone,
-    /// The upstream of the open flow has stopped answering on all flows.
-    #[display("upstream_silent")]
-    UpstreamSilent,
 }
 
 impl ResetCause {
     /// All causes, in the order of declaration, by which the counters are indexed.
-    pub const ALL: [Self; 6] = [
-        Self::NoUpstream,
-        Self::NoRoom,
-        Self::NoRoute,
-        Self::RouteDropped,
-        Self::UpstreamGone,
-        Self::UpstreamSilent,
-    ];
+    pub const ALL: [Self; 5] =
+        [Self::NoUpstream, Self::NoRoom, Self::NoRoute, Self::RouteDropped, Self::UpstreamGone];
 
     /// Returns whether resets of this cause end open flows; the others refuse openings.
     #[must_use]
     pub fn ends_open_flow(self) -> bool {
         match self {
             Self::NoUpstream | Self::NoRoom | Self::NoRoute => false,
-            Self::RouteDropped | Self::UpstreamGone | Self::UpstreamSilent => true,
+            Self::RouteDropped | Self::UpstreamGone => true,
         }
     }
 }
--- a/crates/mustardgrade-core/src/cookie/load.rs
+++ b/crates/mustardgrade-core/src/cookie/load.rs
@@ -20,13 +20,9 @@
     pub in_flight: u16,
     /// Unanswered flows since the upstream last showed that it is alive.
     pub unanswered_flows: u16,
-    /// Those of them that are open, whose callers have recently retransmitted a request.
-    pub unanswered_requests: u16,
     /// Milliseconds since the first unanswered packet of those flows was forwarded; `u16::MAX` if
     /// there is none or at least that long ago.
     pub unanswered_age_ms: u16,
-    /// Milliseconds since the first of those requests was forwarded; `u16::MAX` as above.
-    pub requests_age_ms: u16,
     /// Milliseconds since the upstream last showed that it is alive; `u16::MAX` if it never did or
     /// at least that long ago.
     pub alive_age_ms: u16,
@@ -60,7 +56,6 @@
         let delay_ms = u16::try_from(delay.as_millis()).unwrap_or(u16::MAX);
         for entry in &mut self.entries {
             entry.unanswered_age_ms = entry.unanswered_age_ms.saturating_add(delay_ms);
-            entry.requests_age_ms = entry.requests_age_ms.saturating_add(delay_ms);
             entry.alive_age_ms = entry.alive_age_ms.saturating_add(delay_ms);
         }
     }
@@ -89,10 +84,6 @@
     pub unanswered_flows: u32,
     /// When the first unanswered packet of those flows was forwarded; `None` without such flows.
     pub unanswered_since: Option<Duration>,
-    /// Those of them that are open, whose callers have recently retransmitted a request.
-    pub unanswered_requests: u32,
-    /// When the first of those requests was forwarded; `None` without them.
-    pub unanswered_requests_since: Option<Duration>,
     /// The latest of the times at which each host forwarded its first unanswered packet.
     pub latest_unanswered_since: Option<Duration>,
     /// When the upstream last showed that it is alive, by the clock of the host that aggregates
@@ -107,11 +98,8 @@
 #[serde(deny_unknown_fields)]
 struct UnansweredReport {
     flows: u32,
-    requests: u32,
     /// When the first unanswered packet of those flows was forwarded.
     since: Duration,
-    /// When the first of those requests was forwarded; `None` without them.
-    requests_since: Option<Duration>,
 }
 
 /// `UpstreamReports` is what all reports together say of one upstream.
@@ -135,23 +123,17 @@
         self.last_alive = self.last_alive.max(time_of(entry.alive_age_ms).unwrap_or_default());
         let flows = u32::from(entry.unanswered_flows);
         if let (Some(since), true) = (time_of(entry.unanswered_age_ms), flows > 0) {
-            let requests = u32::from(entry.unanswered_requests);
-            let requests_since = time_of(entry.requests_age_ms).filter(|_| requests > 0);
-            let report = UnansweredReport { flows, requests, since, requests_since };
-            self.unanswered.push(report);
+            self.unanswered.push(UnansweredReport { flows, since });
         }
     }
 
     fn load(&self, own_last_alive: Duration) -> PeerLoad {
         let last_alive = self.last_alive.max(own_last_alive);
         let valid = || self.unanswered.iter().filter(move |report| report.since > last_alive);
-        let with_requests = || valid().filter(|report| report.requests_since.is_some());
         PeerLoad {
             in_flight: self.in_flight,
             unanswered_flows: valid().map(|report| report.flows).sum(),
             unanswered_since: valid().map(|report| report.since).min(),
-            unanswered_requests: with_requests().map(|report| report.requests).sum(),
-            unanswered_requests_since: valid().filter_map(|report| report.requests_since).min(),
             latest_unanswered_since: valid().map(|report| report.since).max(),
             last_alive: self.last_alive,
             active_hosts: self.active_hosts,
--- a/crates/mustardgrade-core/src/cookie/observe.rs
+++ b/crates/mustardgrade-core/src/cookie/observe.rs
@@ -7,7 +7,7 @@
 use super::observed_flows::{FlowStage, ObservedFlow};
 use super::packet::{AnswerStage, CookiePacket, FlowEvent};
 use super::router::{CookieRouter, FabricKind};
-use super::tracker::{FailureDetectionOptions, UpstreamTracker};
+use super::tracker::UpstreamTracker;
 use crate::flow::{FlowKey, FlowPacket};
 
 /// Minimum age of a pending request from which a retransmission of its payload makes the flow count
@@ -132,10 +132,8 @@
             flow.next_sequence = payload_end;
             flow.has_carried_data = true;
             flow.last_data_sent_at = now;
-            if std::mem::take(&mut flow.is_counted_unanswered) {
-                // The caller could go on, so the upstream has acknowledged what came before.
-                self.trackers[index].withdraw_unanswered_request(now);
-            }
+            // The caller could go on, so the upstream has acknowledged what came before.
+            flow.is_counted_unanswered = false;
             if flow.request_sent_at.is_none() {
                 flow.request_sent_at = Some(now);
                 flow.is_counted_in_flight = true;
@@ -154,7 +152,7 @@
         let min_age = self.received_after.saturating_sub(sent_at);
         if !flow.is_counted_unanswered && min_age >= MIN_RETRANSMISSION_AGE {
             flow.is_counted_unanswered = true;
-            self.record_unanswered(index, AnswerStage::Request, sent_at, now);
+            self.record_unanswered(index, sent_at, now);
         }
     }
 
@@ -184,19 +182,9 @@
         }
     }
 
-    pub(super) fn record_unanswered(
-        &mut self,
-        index: usize,
-        stage: AnswerStage,
-        sent_at: Duration,
-        now: Duration,
-    ) {
+    pub(super) fn record_unanswered(&mut self, index: usize, sent_at: Duration, now: Duration) {
         let (tracker, options) = (&mut self.trackers[index], &self.options.failure_detection);
-        let becomes_suspected = match stage {
-            AnswerStage::Opening => tracker.record_unanswered(sent_at, options),
-            AnswerStage::Request => tracker.record_unanswered_request(sent_at, options, now),
-        };
-        if becomes_suspected {
+        if tracker.record_unanswered(sent_at, options) {
             self.counters.suspicions_raised += 1;
             self.events.push(FlowEvent::Suspected {
                 cookie: tracker.cookie,
@@ -230,7 +218,7 @@
         let entries: Vec<LoadEntry> = with_unanswered
             .chain(healthy)
             .take(MAX_REPORT_ENTRIES)
-            .map(|tracker| load_entry(tracker, &self.options.failure_detection, now))
+            .map(|tracker| load_entry(tracker, now))
             .collect();
         self.report_cursor = match entries.len() < MAX_REPORT_ENTRIES {
             true => 0,
@@ -247,21 +235,14 @@
     }
 }
 
-fn load_entry(
-    tracker: &UpstreamTracker,
-    options: &FailureDetectionOptions,
-    now: Duration,
-) -> LoadEntry {
+fn load_entry(tracker: &UpstreamTracker, now: Duration) -> LoadEntry {
     let age = |since| saturate_u16(now.saturating_sub(since).as_millis() as u32);
     let unanswered_since = tracker.unanswered_since();
-    let own_requests = tracker.without_expired_requests(options, now);
     LoadEntry {
         cookie: tracker.cookie,
         in_flight: saturate_u16(tracker.in_flight()),
         unanswered_flows: saturate_u16(tracker.unanswered_flows),
-        unanswered_requests: saturate_u16(own_requests.unanswered_requests),
         unanswered_age_ms: unanswered_since.map_or(u16::MAX, age),
-        requests_age_ms: own_requests.unanswered_requests_since().map_or(u16::MAX, age),
         alive_age_ms: if tracker.last_alive.is_zero() { u16::MAX } else { age(tracker.last_alive) },
     }
 }
--- a/crates/mustardgrade-core/src/cookie/openings.rs
+++ b/crates/mustardgrade-core/src/cookie/openings.rs
@@ -4,7 +4,7 @@
 
 use super::counters::{CookieDropCause, ResetCause};
 use super::observed_flows::{FlowStage, ObservedFlow};
-use super::packet::{AnswerStage, CookiePacket, CookieVerdict, FlowEvent};
+use super::packet::{CookiePacket, CookieVerdict, FlowEvent};
 use super::picker::{PickOutcome, PickedUpstream, UpstreamPicker};
 use super::router::{CookieRouter, FabricKind};
 use super::snapshot::CookieSnapshot;
@@ -267,7 +267,7 @@
         if opening.is_delayed {
             self.counters.openings_delayed += 1;
         } else if self.options.fabric == FabricKind::Hash {
-            self.record_unanswered(index, AnswerStage::Opening, opening.sent_at, now);
+            self.record_unanswered(index, opening.sent_at, now);
         }
     }
 }
--- a/crates/mustardgrade-core/src/cookie/packet.rs
+++ b/crates/mustardgrade-core/src/cookie/packet.rs
@@ -53,14 +53,10 @@
 pub struct ResetEvidence {
     /// Unanswered flows over all hosts since the upstream last answered any of them.
     pub unanswered_flows: u32,
-    /// Those of them that are open, whose callers have retransmitted a request.
-    pub unanswered_requests: u32,
     /// Unanswered flows presumed because the data centre is unreachable.
     pub presumed_unanswered_flows: u32,
     /// Time since the upstream last answered any host; `None` if it never did.
     pub silence: Option<Duration>,
-    /// Time since this host itself last found a request unanswered; `None` if it never did.
-    pub last_unanswered_request_age: Option<Duration>,
     /// Time for which the upstream has counted as gone.
     pub gone_for: Option<Duration>,
     /// Time since this host last routed a packet that may have waited too long at the host itself;
--- a/crates/mustardgrade-core/src/cookie/reachability.rs
+++ b/crates/mustardgrade-core/src/cookie/reachability.rs
@@ -15,14 +15,6 @@
 /// stopped at the same time by chance.
 const MIN_SILENT_TO_AVOID: u32 = 3;
 
-/// Minimum number of silent upstreams, which must also be at least half of all, before open flows
-/// of the other upstreams may be reset. It is higher because a wrong reset breaks a flow, while a
-/// wrong choice for a new flow does not.
-const MIN_SILENT_TO_RESET: u32 = 6;
-
-/// Number of silent upstreams, among those, that must leave requests on open flows unanswered.
-const MIN_SILENT_ON_OPEN_FLOWS_TO_RESET: u32 = 3;
-
 /// `DataCentreReachability` is the inferred state of the network path to one data centre.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(super) struct DataCentreReachability {
@@ -30,12 +22,6 @@
     last_alive: Duration,
     /// Number of upstreams whose earliest unanswered packet was sent after that.
     silent_upstreams: u32,
-    /// Those of them that leave requests on open flows unanswered.
-    silent_on_open_flows: u32,
-    /// Requests on open flows that this host has recently found unanswered.
-    own_unanswered_requests: u32,
-    /// Number of its upstreams that are not gone.
-    present_upstreams: u32,
     /// When the earliest unanswered packet of the silent upstreams was sent.
     silent_since: Duration,
     /// Since when the data centre counts as unreachable.
@@ -104,22 +90,12 @@
     }
 
     fn count_silent_upstreams(&self, table: &mut ReachabilityTable, now: Duration) {
-        let options = &self.options.failure_detection;
         let loads = self.trackers.iter().zip(&self.peer_loads);
         for (view, (tracker, peers)) in self.snapshot.upstreams.iter().zip(loads) {
             let Some(state) = table.get_mut(&view.data_centre) else { continue };
             if view.is_local || view.is_gone(now) {
                 continue;
             }
-            state.present_upstreams += 1;
-            let own_requests = tracker.without_expired_requests(options, now);
-            let requests_since =
-                own_requests.unanswered_requests_since().max(peers.unanswered_requests_since);
-            let is_silent_on_open_flows = requests_since > Some(state.last_alive);
-            state.silent_on_open_flows += u32::from(is_silent_on_open_flows);
-            if is_silent_on_open_flows {
-                state.own_unanswered_requests += tracker.recent_unanswered_requests(options, now);
-            }
             let own = tracker.unanswered_since();
             let Some(silent_since) = own.max(peers.latest_unanswered_since) else {
                 continue;
@@ -140,19 +116,11 @@
         data_centre: DataCentreId,
         state: &DataCentreReachability,
     ) {
-        let options = &self.options.failure_detection;
-        let most_are_silent = state.silent_upstreams >= MIN_SILENT_TO_RESET
-            && state.silent_upstreams * 2 >= state.present_upstreams
-            && state.silent_on_open_flows >= MIN_SILENT_ON_OPEN_FLOWS_TO_RESET;
-        let unanswered_flows = match most_are_silent {
-            true => options.silent_min_unanswered,
-            false => options.suspect_min_unanswered,
-        };
+        let unanswered_flows = self.options.failure_detection.suspect_min_unanswered;
         let Some(unreachable_since) = state.unreachable_since else { return };
         for (view, tracker) in self.snapshot.upstreams.iter().zip(&mut self.trackers) {
             if view.data_centre == data_centre {
-                let own_requests = state.own_unanswered_requests;
-                tracker.presume_unanswered(unreachable_since, unanswered_flows, own_requests);
+                tracker.presume_unanswered(unreachable_since, unanswered_flows);
             }
         }
     }
--- a/crates/mustardgrade-core/src/cookie/snapshot.rs
+++ b/crates/mustardgrade-core/src/cookie/snapshot.rs
@@ -47,8 +47,10 @@
     pub cold_until: Duration,
     /// Time until which it accepts new flows.
     pub accepts_until: Duration,
-    /// Time from which it counts as gone; its open flows may then be ended if it does not answer.
+    /// Time from which it counts as gone, since its entry was removed.
     pub gone_at: Option<Duration>,
+    /// Whether its last registration says that it is draining.
+    pub has_announced_departure: bool,
     /// Requests per second that it can handle while cold.
     pub cold_rate: f64,
 }
@@ -71,8 +73,7 @@
         now < self.cold_until
     }
 
-    /// Returns whether the upstream counts as gone, so that its open flows may be ended if it does not
-    /// answer.
+    /// Returns whether the upstream counts as gone.
     #[must_use]
     pub fn is_gone(&self, now: Duration) -> bool {
         self.gone_at.is_some_and(|at| now >= at)
@@ -256,6 +257,7 @@
         cold_until: registered_cold_until.max(evacuation_cold_until),
         accepts_until,
         gone_at: is_gone.then_some(entry.learned_at + REMOVAL_GRACE_PERIOD),
+        has_announced_departure: registration.state == RegisteredState::Draining,
         cold_rate: service_config.map_or(0.0, |config| config.max_cold_requests_per_sec),
     })
 }
--- a/crates/mustardgrade-core/src/cookie/tracker.rs
+++ b/crates/mustardgrade-core/src/cookie/tracker.rs
@@ -31,22 +31,8 @@
     pub suspect_min_unanswered: u32,
     /// Interval between new flows that probe a suspected upstream; it doubles with each probe.
     pub probe_interval: Duration,
-    /// Time without an answer on any flow after which an upstream counts as silent and its open
-    /// flows may be reset.
+    /// Time without an answer after which a flow of an upstream that has left may be ended.
     pub silence_timeout: Duration,
-    /// Number of open flows with an unanswered request, over all hosts, that an upstream needs to
-    /// count as silent.
-    pub silent_min_unanswered: u32,
-    /// Time for which the unanswered requests that this host has found suffice to reset other
-    /// flows, from the last one found. What made an upstream silent, such as a partition, may have
-    /// ended since.
-    pub silence_evidence_ttl: Duration,
-    /// Time without another unanswered request after which their count starts anew; longer than the
-    /// longest interval at which callers retransmit.
-    pub silence_restart_gap: Duration,
-    /// Flows of a silent upstream are reset only if another upstream of the service has answered
-    /// within this time, which shows that this host's own network works.
-    pub alternative_alive_window: Duration,
 }
 
 impl Default for FailureDetectionOptions {
@@ -57,10 +43,6 @@
             suspect_min_unanswered: 2,
             probe_interval: Duration::from_millis(1_000),
             silence_timeout: Duration::from_millis(450),
-            silent_min_unanswered: 4,
-            silence_evidence_ttl: Duration::from_millis(2_000),
-            silence_restart_gap: Duration::from_millis(3_000),
-            alternative_alive_window: Duration::from_millis(300),
         }
     }
 }
@@ -87,18 +69,10 @@
     pub unanswered_flows: u32,
     /// When the earliest of their unanswered packets was forwarded.
     pub unanswered_since: Duration,
-    /// Those of the unanswered flows that are open, whose callers have retransmitted a request.
-    pub unanswered_requests: u32,
-    /// When the earliest of these requests was forwarded.
-    pub unanswered_requests_since: Duration,
-    /// When this host last found a request unanswered.
-    pub last_unanswered_request: Duration,
     /// Unanswered flows that are presumed while the whole data centre is unreachable.
     pub presumed_unanswered_flows: u32,
     /// Since when the data centre has been unreachable.
     pub presumed_since: Duration,
-    /// Unanswered requests to the unreachable data centre that this host has recently found.
-    pub presumed_own_requests: u32,
     /// When a new flow last probed the upstream while it was suspected.
     pub last_probe: Duration,
     /// Probes since the upstream was last known to be alive.
@@ -121,12 +95,8 @@
             last_alive: Duration::ZERO,
             unanswered_flows: 0,
             unanswered_since: Duration::ZERO,
-            unanswered_requests: 0,
-            unanswered_requests_since: Duration::ZERO,
-            last_unanswered_request: Duration::ZERO,
             presumed_unanswered_flows: 0,
             presumed_since: Duration::ZERO,
-            presumed_own_requests: 0,
             last_probe: Duration::ZERO,
             probe_count: 0,
             next_cold_flow_at: Duration::ZERO,
@@ -157,9 +127,6 @@
         if at >= self.unanswered_since {
             self.unanswered_flows = 0;
         }
-        if at >= self.unanswered_requests_since {
-            self.unanswered_requests = 0;
-        }
         if at >= self.presumed_since {
             self.presumed_unanswered_flows = 0;
         }
@@ -174,44 +141,12 @@
         (self.unanswered_flows > 0).then_some(self.unanswered_since)
     }
 
-    /// Returns the tracker without unanswered requests if the last one was found too long ago.
-    #[must_use]
-    pub fn without_expired_requests(
-        mut self,
-        options: &FailureDetectionOptions,
-        now: Duration,
-    ) -> Self {
-        if now.saturating_sub(self.last_unanswered_request) >= options.silence_restart_gap {
-            self.unanswered_requests = 0;
-        }
-        self
-    }
-
-    /// Returns the number of unanswered requests if this host has found the last one recently.
-    #[must_use]
-    pub fn recent_unanswered_requests(
-        &self,
-        options: &FailureDetectionOptions,
-        now: Duration,
-    ) -> u32 {
-        let age = now.saturating_sub(self.last_unanswered_request);
-        if age < options.silence_evidence_ttl { self.unanswered_requests } else { 0 }
-    }
-
-    /// Returns when the earliest unanswered request was forwarded, if there is one.
-    #[must_use]
-    pub fn unanswered_requests_since(&self) -> Option<Duration> {
-        (self.unanswered_requests > 0).then_some(self.unanswered_requests_since)
-    }
-
     /// Presumes `flows` unanswered flows since `since`, when the whole data centre became
-    /// unreachable, unless the upstream was alive after that. `own_requests` of this host to the
-    /// data centre have recently been found unanswered.
-    pub fn presume_unanswered(&mut self, since: Duration, flows: u32, own_requests: u32) {
+    /// unreachable, unless the upstream was alive after that.
+    pub fn presume_unanswered(&mut self, since: Duration, flows: u32) {
         if self.last_alive <= since {
             self.presumed_unanswered_flows = flows;
             self.presumed_since = since;
-            self.presumed_own_requests = own_requests;
         }
     }
 
@@ -223,9 +158,6 @@
             self.unanswered_flows = 0;
             self.probe_count = 0;
         }
-        if self.unanswered_requests_since >= since {
-            self.unanswered_requests = 0;
-        }
     }
 
     /// Records that a new flow probes the upstream, or another one that most likely failed with it.
@@ -252,31 +184,6 @@
         self.unanswered_flows == options.suspect_min_unanswered
     }
 
-    /// Records that a request forwarded at `sent_at` on an open flow has been found unanswered;
-    /// returns whether the upstream becomes suspected by it.
-    pub fn record_unanswered_request(
-        &mut self,
-        sent_at: Duration,
-        options: &FailureDetectionOptions,
-        now: Duration,
-    ) -> bool {
-        if sent_at > self.last_alive {
-            *self = self.without_expired_requests(options, now);
-            let since = self.unanswered_requests_since().unwrap_or(sent_at);
-            self.unanswered_requests_since = since.min(sent_at);
-            self.unanswered_requests += 1;
-            self.last_unanswered_request = now;
-        }
-        self.record_unanswered(sent_at, options)
-    }
-
-    /// Takes back an unanswered request, since its caller has sent more data after retransmitting.
-    /// The others count from now on, since the earliest one may be the one taken back.
-    pub fn withdraw_unanswered_request(&mut self, now: Duration) {
-        self.unanswered_requests = self.unanswered_requests.saturating_sub(1);
-        self.unanswered_requests_since = now;
-    }
-
     /// Returns whether the upstream is suspected of having failed.
     #[must_use]
     pub fn is_suspected(&self, options: &FailureDetectionOptions) -> bool {
@@ -325,9 +232,6 @@
         if alive_at >= self.unanswered_since {
             self.unanswered_flows = 0;
         }
-        if alive_at >= self.unanswered_requests_since {
-            self.unanswered_requests = 0;
-        }
         if alive_at >= self.presumed_since {
             self.presumed_unanswered_flows = 0;
         }
@@ -349,57 +253,9 @@
             self.unanswered_since = since;
             self.unanswered_flows += peers.unanswered_flows;
         }
-        let requests_since = peers.unanswered_requests_since;
-        if let Some(peers_since) = requests_since.filter(|since| *since > self.last_alive) {
-            let own_since = self.unanswered_requests_since();
-            self.unanswered_requests_since = own_since.unwrap_or(peers_since).min(peers_since);
-            self.unanswered_requests += peers.unanswered_requests;
-        }
         self
     }
 
-    /// Returns whether this host itself has recently found the requests of so many open flows to
-    /// the upstream, or to its unreachable data centre, unanswered that it may reset others.
-    ///
-    /// Reports of other hosts may be wrong, so together with one lost request of this host they
-    /// suffice to reset only the flow that carries it.
-    #[must_use]
-    pub fn has_own_evidence(&self, options: &FailureDetectionOptions, now: Duration) -> bool {
-        let presumed = match self.presumed_unanswered_flows {
-            0 => 0,
-            _ => self.presumed_own_requests,
-        };
-        let observed = self.recent_unanswered_requests(options, now);
-        observed.max(presumed) >= options.silent_min_unanswered
-    }
-
-    /// Returns whether the upstream has been silent for so long, and on so many open flows, that
-    /// its open flows may be reset.
-    ///
-    /// Openings do not count: a full upstream answers none, and their callers may have given up or
-    /// been moved to another host by the fabric.
-    #[must_use]
-    pub fn is_silent(&self, options: &FailureDetectionOptions, now: Duration) -> bool {
-        let has_lasted = |since| now.saturating_sub(since) >= options.silence_timeout;
-        let observed = self.unanswered_requests >= options.silent_min_unanswered
-            && has_lasted(self.unanswered_requests_since);
-        let presumed = self.presumed_unanswered_flows >= options.silent_min_unanswered
-            && has_lasted(self.presumed_since);
-        (observed || presumed) && has_lasted(self.last_alive)
-    }
-
-    /// Returns whether a request on an open flow has been unanswered, and the upstream silent, for
-    /// as long as answers may take.
-    #[must_use]
-    pub fn has_lasting_unanswered_request(
-        &self,
-        options: &FailureDetectionOptions,
-        now: Duration,
-    ) -> bool {
-        let has_lasted = |since| now.saturating_sub(since) >= options.silence_timeout;
-        self.unanswered_requests_since().is_some_and(has_lasted) && has_lasted(self.last_alive)
-    }
-
     /// Returns the requests in flight, including pending openings, each of which will soon bring
     /// one.
     #[must_use]
--- a/crates/mustardgrade-node/src/cookie_host/flow_log.rs
+++ b/crates/mustardgrade-node/src/cookie_host/flow_log.rs
@@ -81,10 +81,8 @@
             FlowEvent::Reset { key, cookie, cause, evidence: Some(evidence) } => log::info!(
                 flow = flow_id(key), key:% = key, upstream = upstream(*cookie), cause:% = cause,
                 unanswered = evidence.unanswered_flows,
-                requests = evidence.unanswered_requests,
                 presumed = evidence.presumed_unanswered_flows,
                 silent_ms = millis(evidence.silence),
-                evidence_ms = millis(evidence.last_unanswered_request_age),
                 gone_ms = millis(evidence.gone_for),
                 delayed_ms = millis(evidence.last_delayed_packet_age),
                 version, revision, omitted; "flow reset"
