A missing entry, announced or not, resets no open flow

Cause, the same class: a missing entry together with silence stood for the end of an upstream. The entry of one that is cut off from the store lapses while it serves, and a slow one answers later than 450 ms. So they go, and with them the evidence in the log line. Left is route_dropped, which the operators decide.

--- a/crates/mustardgrade-core/src/cookie/counters.rs
+++ b/crates/mustardgrade-core/src/cookie/counters.rs
@@ -19,10 +19,6 @@
     /// The cookie identifies an upstream of a service that was never a backend of the route.
     #[display("foreign_cookie")]
     ForeignCookie,
-    /// The upstream is gone, and a reset would not help: the caller could not safely repeat its
-    /// request, or has reset the flow itself.
-    #[display("unreachable")]
-    Unreachable,
     /// The opening cannot be forwarded, but another transmission of it may have opened the flow.
     #[display("may_be_open")]
     MayBeOpen,
@@ -50,22 +46,18 @@
     /// A manifest removed the route of the open flow.
     #[display("route_dropped")]
     RouteDropped,
-    /// The upstream of the open flow has left as announced, and no longer answers.
-    #[display("upstream_gone")]
-    UpstreamGone,
 }
 
 impl ResetCause {
     /// All causes, in the order of declaration, by which the counters are indexed.
-    pub const ALL: [Self; 5] =
-        [Self::NoUpstream, Self::NoRoom, Self::NoRoute, Self::RouteDropped, Self::UpstreamGone];
+    pub const ALL: [Self; 4] = [Self::NoUpstream, Self::NoRoom, Self::NoRoute, Self::RouteDropped];
 
     /// Returns whether resets of this cause end open flows; the others refuse openings.
     #[must_use]
     pub fn ends_open_flow(self) -> bool {
         match self {
             Self::NoUpstream | Self::NoRoom | Self::NoRoute => false,
-            Self::RouteDropped | Self::UpstreamGone => true,
+            Self::RouteDropped => true,
         }
     }
 }
--- a/crates/mustardgrade-core/src/cookie/mod.rs
+++ b/crates/mustardgrade-core/src/cookie/mod.rs
@@ -14,7 +14,6 @@
 mod packet;
 mod picker;
 mod reachability;
-mod resets;
 mod router;
 mod snapshot;
 mod tracker;
@@ -25,7 +24,7 @@
 pub use flow_cookie::FlowCookie;
 pub use load::{LoadEntry, LoadReport, PeerLoad, PeerLoads};
 pub use observed_flows::{FlowStage, ObservedFlow, ObservedFlowTable};
-pub use packet::{AnswerStage, CookiePacket, CookieVerdict, FlowEvent, ResetEvidence};
+pub use packet::{AnswerStage, CookiePacket, CookieVerdict, FlowEvent};
 pub use router::{CookieOptions, CookieRouter, FabricKind};
 pub use snapshot::{
     CookieRoute, CookieSnapshot, SnapshotContext, UpstreamView, build_cookie_snapshot,
--- a/crates/mustardgrade-core/src/cookie/observe.rs
+++ b/crates/mustardgrade-core/src/cookie/observe.rs
@@ -130,7 +130,6 @@
         let has_new_data = payload_end.wrapping_sub(flow.next_sequence) as i32 > 0;
         if has_new_data {
             flow.next_sequence = payload_end;
-            flow.has_carried_data = true;
             flow.last_data_sent_at = now;
             // The caller could go on, so the upstream has acknowledged what came before.
             flow.is_counted_unanswered = false;
--- a/crates/mustardgrade-core/src/cookie/observed_flows.rs
+++ b/crates/mustardgrade-core/src/cookie/observed_flows.rs
@@ -43,8 +43,6 @@
     pub first_sequence: u32,
     /// Sequence number that follows the last payload seen.
     pub next_sequence: u32,
-    /// Whether the caller has sent any payload, or may have before the host first saw the flow.
-    pub has_carried_data: bool,
     /// When the pending request was forwarded; `None` if no request is unanswered.
     pub request_sent_at: Option<Duration>,
     /// When new payload was last forwarded; zero if none was.
@@ -72,7 +70,6 @@
             last_acknowledgement: 0,
             first_sequence: segment.sequence.wrapping_add(1),
             next_sequence: segment.sequence.wrapping_add(1),
-            has_carried_data: false,
             request_sent_at: None,
             last_data_sent_at: Duration::ZERO,
             is_counted_in_flight: true,
@@ -93,7 +90,6 @@
             last_acknowledgement: segment.acknowledgement,
             first_sequence: segment.sequence,
             next_sequence: segment.sequence,
-            has_carried_data: true,
             request_sent_at: None,
             last_data_sent_at: Duration::ZERO,
             is_counted_in_flight: false,
--- a/crates/mustardgrade-core/src/cookie/openings.rs
+++ b/crates/mustardgrade-core/src/cookie/openings.rs
@@ -137,7 +137,7 @@
         self.note_call(now);
         self.note_refusal(&packet.segment, now);
         let verdict = CookieVerdict::Drop(CookieDropCause::Overloaded);
-        self.record_verdict(&verdict, packet, now);
+        self.record_verdict(&verdict, packet);
     }
 
     /// Remembers that a transmission of an opening is not forwarded; returns whether this host has
--- a/crates/mustardgrade-core/src/cookie/packet.rs
+++ b/crates/mustardgrade-core/src/cookie/packet.rs
@@ -48,22 +48,6 @@
     Request,
 }
 
-/// `ResetEvidence` is what a host knew of an upstream when it reset a flow of it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ResetEvidence {
-    /// Unanswered flows over all hosts since the upstream last answered any of them.
-    pub unanswered_flows: u32,
-    /// Unanswered flows presumed because the data centre is unreachable.
-    pub presumed_unanswered_flows: u32,
-    /// Time since the upstream last answered any host; `None` if it never did.
-    pub silence: Option<Duration>,
-    /// Time for which the upstream has counted as gone.
-    pub gone_for: Option<Duration>,
-    /// Time since this host last routed a packet that may have waited too long at the host itself;
-    /// `None` if it never did. Within the silence, the host may have missed answers.
-    pub last_delayed_packet_age: Option<Duration>,
-}
-
 /// `FlowEvent` is a decision or an observation to be logged, or a latency to be recorded in a
 /// histogram.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -109,8 +93,6 @@
         cookie: FlowCookie,
         /// Reason for the reset.
         cause: ResetCause,
-        /// What the host knew of the flow's upstream; `None` if the cookie names none.
-        evidence: Option<ResetEvidence>,
     },
     /// An upstream has become suspected because its flows are not answered.
     Suspected {
--- a/crates/mustardgrade-core/src/cookie/router.rs
+++ b/crates/mustardgrade-core/src/cookie/router.rs
@@ -93,8 +93,6 @@
     pub(super) last_called_at: Duration,
     /// Whether the host has stalled since its socket was last known to be empty.
     pub(super) has_stalled: bool,
-    /// When a packet that may have waited too long at this host was last routed.
-    pub(super) last_delayed_packet: Duration,
     pub(super) last_expiry: Duration,
     pub(super) utilisation: f64,
     pub(super) load_estimator: LoadEstimator,
@@ -124,7 +122,6 @@
             received_after: Duration::ZERO,
             last_called_at: Duration::ZERO,
             has_stalled: false,
-            last_delayed_packet: Duration::ZERO,
             last_expiry: Duration::ZERO,
             utilisation: 0.0,
             load_estimator: LoadEstimator::default(),
@@ -210,7 +207,6 @@
         self.note_call(now);
         if self.is_delayed(now) {
             self.counters.packets_delayed += 1;
-            self.last_delayed_packet = now;
         }
         let verdict = match snapshot.is_loaded {
             false => {
@@ -222,7 +218,7 @@
             true if packet.segment.opens_flow() => self.route_opening(&snapshot, packet, now),
             true => self.route_established(&snapshot, packet, now),
         };
-        self.record_verdict(&verdict, packet, now);
+        self.record_verdict(&verdict, packet);
         verdict
     }
 
@@ -263,19 +259,13 @@
         self.has_stalled || now.saturating_sub(self.received_after) > MIN_STALL
     }
 
-    pub(super) fn record_verdict(
-        &mut self,
-        verdict: &CookieVerdict,
-        packet: &CookiePacket,
-        now: Duration,
-    ) {
+    pub(super) fn record_verdict(&mut self, verdict: &CookieVerdict, packet: &CookiePacket) {
         match verdict {
             CookieVerdict::Forward { .. } => self.counters.packets_forwarded += 1,
             CookieVerdict::Reset(cause) => {
                 self.counters.count_reset(*cause);
                 let (key, cookie) = (packet.segment.key, packet.cookie);
-                let evidence = self.reset_evidence(cookie, now);
-                self.events.push(FlowEvent::Reset { key, cookie, cause: *cause, evidence });
+                self.events.push(FlowEvent::Reset { key, cookie, cause: *cause });
             }
             CookieVerdict::Drop(cause) => {
                 self.counters.packets_dropped += 1;
@@ -308,15 +298,20 @@
             return CookieVerdict::Drop(CookieDropCause::ForeignCookie);
         }
         self.observe_segment(index, packet, view.cookie, now);
-        if self.may_end_flow(index, segment, now) {
-            return self.end_gone_flow(route, segment);
-        }
         if segment.closes_flow() {
             self.remove_flow(&segment.key);
         }
         CookieVerdict::Forward { index, cookie }
     }
 
+    /// Returns whether a manifest has dropped the route of a flow that was open before.
+    ///
+    /// Other hosts may follow a newer manifest that has the route again; what they have opened by
+    /// it is unknown here. A flow that this host has observed passed it while it had the route.
+    fn has_lost_route(&self, snapshot: &CookieSnapshot, key: &FlowKey) -> bool {
+        snapshot.dropped_routes.contains(&key.service) && self.flows.get(key).is_some()
+    }
+
     pub(super) fn remove_flow(&mut self, key: &FlowKey) -> Option<ObservedFlow> {
         let flow = self.flows.remove(key)?;
         uncount_flow(&self.snapshot, &mut self.trackers, &flow);
--- a/crates/mustardgrade-core/src/cookie/snapshot.rs
+++ b/crates/mustardgrade-core/src/cookie/snapshot.rs
@@ -49,8 +49,6 @@
     pub accepts_until: Duration,
     /// Time from which it counts as gone, since its entry was removed.
     pub gone_at: Option<Duration>,
-    /// Whether its last registration says that it is draining.
-    pub has_announced_departure: bool,
     /// Requests per second that it can handle while cold.
     pub cold_rate: f64,
 }
@@ -257,7 +255,6 @@
         cold_until: registered_cold_until.max(evacuation_cold_until),
         accepts_until,
         gone_at: is_gone.then_some(entry.learned_at + REMOVAL_GRACE_PERIOD),
-        has_announced_departure: registration.state == RegisteredState::Draining,
         cold_rate: service_config.map_or(0.0, |config| config.max_cold_requests_per_sec),
     })
 }
--- a/crates/mustardgrade-core/src/cookie/tests/fixtures.rs
+++ b/crates/mustardgrade-core/src/cookie/tests/fixtures.rs
@@ -99,7 +99,7 @@
         );
     }
 
-    /// Lets an upstream of `desk` announce that it leaves, and removes its entry.
+    /// Lets an upstream of `desk` announce that it leaves, and removes its entry; it may serve on.
     pub(super) fn depart_upstream(&mut self, tag: u64, now: Duration) {
         let mut registration = upstream_registration("desk", "a", tag);
         registration.state = RegisteredState::Draining;
--- a/crates/mustardgrade-core/src/cookie/tracker.rs
+++ b/crates/mustardgrade-core/src/cookie/tracker.rs
@@ -31,8 +31,6 @@
     pub suspect_min_unanswered: u32,
     /// Interval between new flows that probe a suspected upstream; it doubles with each probe.
     pub probe_interval: Duration,
-    /// Time without an answer after which a flow of an upstream that has left may be ended.
-    pub silence_timeout: Duration,
 }
 
 impl Default for FailureDetectionOptions {
@@ -42,7 +40,6 @@
             slow_opening_threshold: Duration::from_millis(20),
             suspect_min_unanswered: 2,
             probe_interval: Duration::from_millis(1_000),
-            silence_timeout: Duration::from_millis(450),
         }
     }
 }
--- a/crates/mustardgrade-node/src/cookie_host/flow_log.rs
+++ b/crates/mustardgrade-node/src/cookie_host/flow_log.rs
@@ -78,20 +78,11 @@
                 flow = flow_id(key), key:% = key, from = upstream(*from), to = upstream(*to),
                 version, revision, omitted; "opening redirected"
             ),
-            FlowEvent::Reset { key, cookie, cause, evidence: Some(evidence) } => log::info!(
-                flow = flow_id(key), key:% = key, upstream = upstream(*cookie), cause:% = cause,
-                unanswered = evidence.unanswered_flows,
-                presumed = evidence.presumed_unanswered_flows,
-                silent_ms = millis(evidence.silence),
-                gone_ms = millis(evidence.gone_for),
-                delayed_ms = millis(evidence.last_delayed_packet_age),
-                version, revision, omitted; "flow reset"
-            ),
             FlowEvent::CookieCorrected { key, from, to } => log::info!(
                 flow = flow_id(key), key:% = key, from = upstream(*from), to = upstream(*to),
                 version, revision, omitted; "cookie corrected"
             ),
-            FlowEvent::Reset { key, cookie, cause, evidence: None } => log::info!(
+            FlowEvent::Reset { key, cookie, cause } => log::info!(
                 flow = flow_id(key), key:% = key, upstream = upstream(*cookie), cause:% = cause,
                 version, revision, omitted; "flow reset"
             ),
@@ -125,11 +116,6 @@
     format!("{:016x}", key.fingerprint(0))
 }
 
-/// Returns a duration in milliseconds; `-` if there is none.
-fn millis(duration: Option<Duration>) -> String {
-    duration.map_or("-".to_owned(), |duration| duration.as_millis().to_string())
-}
-
 /// Returns the name of the upstream with a cookie; `-` if the snapshot has none.
 fn upstream_name(snapshot: &CookieSnapshot, cookie: FlowCookie) -> &str {
     snapshot.upstream_index(cookie).map_or("-", |index| &snapshot.upstreams[index].name)
