Log and metrics tell when the control thread gets its turn late

Added: the histogram control_tick_seconds, and a line when ticks begin or cease to be over 0.5 s apart; a stall was reported from 1 s on only.

--- a/crates/mustardgrade-core/src/watch/controller.rs
+++ b/crates/mustardgrade-core/src/watch/controller.rs
@@ -188,7 +188,7 @@
     fn handle_tick(&mut self, now: Duration, outputs: &mut Vec<WatchOutput>) {
         let elapsed = now.saturating_sub(self.last_tick_at);
         self.last_tick_at = now;
-        self.last_tick_late = elapsed > MAX_MESSAGE_DELAY;
+        self.note_lateness(elapsed, outputs);
         if elapsed > STALL_THRESHOLD {
             self.handle_stall(elapsed, outputs);
         }
@@ -216,6 +216,16 @@
         self.last_tick_late || now.saturating_sub(self.last_tick_at) > MAX_MESSAGE_DELAY
     }
 
+    /// Notes whether the tick was late, and reports when ticks begin or cease to be.
+    fn note_lateness(&mut self, elapsed: Duration, outputs: &mut Vec<WatchOutput>) {
+        let late = elapsed > MAX_MESSAGE_DELAY;
+        if late != self.last_tick_late {
+            self.last_tick_late = late;
+            let elapsed_ms = saturating_millis(elapsed);
+            outputs.push(WatchOutput::Event(WatchEvent::LatenessChanged { late, elapsed_ms }));
+        }
+    }
+
     /// Discards the last confirmation after a stall of the host itself.
     fn handle_stall(&mut self, elapsed: Duration, outputs: &mut Vec<WatchOutput>) {
         self.confirmed_at = None;
--- a/crates/mustardgrade-core/src/watch/events.rs
+++ b/crates/mustardgrade-core/src/watch/events.rs
@@ -201,6 +201,14 @@
         /// Duration of the stall in milliseconds.
         stall_ms: u32,
     },
+    /// Ticks of the host have begun to be late, or are in time again.
+    #[display("control late={late} since_tick_ms={elapsed_ms}")]
+    LatenessChanged {
+        /// Whether the last tick was late, so that messages may have waited at the host.
+        late: bool,
+        /// Milliseconds between the last two ticks.
+        elapsed_ms: u32,
+    },
     /// Another host was heard for the first time, after a restart, or after a silence.
     #[display("host {address} joined or returned")]
     HostJoined {
--- a/crates/mustardgrade-node/src/cookie_host/actor.rs
+++ b/crates/mustardgrade-node/src/cookie_host/actor.rs
@@ -3,6 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use kameo::Actor;
 use kameo::actor::{ActorRef, WeakActorRef};
@@ -72,6 +73,7 @@
     store_call_task: Option<JoinHandle<()>>,
     store_call_number: u64,
     last_load_report: Arc<BuiltLoadReport>,
+    last_tick_at: Option<Duration>,
     event_log: EventLog,
 }
 
@@ -90,6 +92,7 @@
             store_call_task: None,
             store_call_number: 0,
             last_load_report: Arc::default(),
+            last_tick_at: None,
             event_log: EventLog::default(),
         }
     }
@@ -109,6 +112,15 @@
         self.publish_status();
     }
 
+    /// Records the time since the previous tick.
+    fn observe_tick(&mut self) {
+        let now = self.resources.clock.now();
+        if let Some(last_tick_at) = self.last_tick_at.replace(now) {
+            let interval = now.saturating_sub(last_tick_at);
+            self.resources.metrics.control_tick_seconds.observe(interval.as_secs_f64());
+        }
+    }
+
     /// Passes the load report of the traffic thread to the controller if it is a new one.
     fn handle_load_report(&mut self, actor_ref: &ActorRef<Self>) {
         let built = self.resources.shared.load_report.load_full();
@@ -237,6 +249,7 @@
     async fn handle(&mut self, input: WatchInput, context: &mut Context<Self, ()>) {
         let actor_ref = context.actor_ref().clone();
         if input == WatchInput::Tick {
+            self.observe_tick();
             self.handle_load_report(&actor_ref);
         }
         self.handle_input(input, &actor_ref);
--- a/crates/mustardgrade-node/src/metrics/registry.rs
+++ b/crates/mustardgrade-node/src/metrics/registry.rs
@@ -137,6 +137,8 @@
     /// Time from an opening or request on a flow routed by cookie until the caller acknowledges the
     /// answer.
     pub answer_seconds: Family<AnswerTimeLabels, Histogram>,
+    /// Time between two ticks of the control thread of a host that routes flows by cookie.
+    pub control_tick_seconds: Histogram,
     /// Sizes of flow packets by customer and class.
     pub packet_bytes: Family<FlowLabels, Histogram>,
 }
@@ -174,6 +176,8 @@
             answer_seconds: Family::new_with_constructor(|| {
                 Histogram::new(exponential_buckets(0.001, 2.0, 15))
             }),
+            // 64 ms to 8 s: ticks come no sooner, and a host that lags longer is suspended.
+            control_tick_seconds: Histogram::new(exponential_buckets(0.064, 2.0, 8)),
             packet_bytes: Family::new_with_constructor(|| {
                 Histogram::new(exponential_buckets(64.0, 2.0, 6))
             }),
@@ -239,6 +243,11 @@
             "Time from an opening or request to the acknowledgement of the answer",
             self.answer_seconds.clone(),
         );
+        registry.register(
+            "control_tick_seconds",
+            "Time between two ticks of the control thread",
+            self.control_tick_seconds.clone(),
+        );
         registry.register("packet_bytes", "Sizes of flow packets", self.packet_bytes.clone());
         registry.register_collector(Box::new(HostCollector(Arc::clone(self))));
         registry
