Schedule of the traffic thread is a decision of the core; known red: it never gives way

Callers of overloaded hosts were sent to upstreams that had been draining for over 3 s. The choice between polling and waiting moves from the adapter to scheduling::ReceiveSchedule, unchanged, so that a test can show the fault.

--- a/crates/mustardgrade-core/src/lib.rs
+++ b/crates/mustardgrade-core/src/lib.rs
@@ -19,4 +19,5 @@
 pub mod registry;
 pub mod request;
 pub mod rule;
+pub mod scheduling;
 pub mod watch;
--- a/crates/mustardgrade-node/src/cookie_host/traffic_thread.rs
+++ b/crates/mustardgrade-node/src/cookie_host/traffic_thread.rs
@@ -13,6 +13,7 @@
     CookieOptions, CookiePacket, CookieRouter, CookieSnapshot, CookieVerdict, FlowEvent,
     LoadReport, PeerLoads,
 };
+use mustardgrade_core::scheduling::{ReceiveSchedule, ReceiveStep};
 use nix::errno::Errno;
 use nix::sys::socket::{MsgFlags, recv};
 
@@ -75,6 +76,7 @@
             socket,
             packet_codec,
             router: CookieRouter::new(options),
+            schedule: ReceiveSchedule::default(),
             installed_snapshot: Arc::new(CookieSnapshot::default()),
             installed_peer_loads: Arc::default(),
             last_report_at: Duration::ZERO,
@@ -97,6 +99,7 @@
     socket: UdpSocket,
     packet_codec: Box<dyn PacketCodec>,
     router: CookieRouter,
+    schedule: ReceiveSchedule,
     installed_snapshot: Arc<CookieSnapshot>,
     installed_peer_loads: Arc<PeerLoads>,
     last_report_at: Duration,
@@ -130,14 +133,34 @@
     }
 
     /// Receives the next datagram, and waits for it if there is none.
-    ///
-    /// Only then are timeouts processed: answers in the socket buffer must not be overlooked.
     fn receive(&mut self, buffer: &mut [u8]) -> std::io::Result<usize> {
-        let checked_at = self.clock.now();
-        match recv(self.socket.as_raw_fd(), buffer, MsgFlags::MSG_DONTWAIT) {
-            Err(Errno::EAGAIN) => {}
-            received => return received.map_err(std::io::Error::from),
+        let mut socket_empty = false;
+        let mut now = self.clock.now();
+        loop {
+            match self.schedule.next_step(socket_empty, now) {
+                ReceiveStep::Yield => {
+                    std::thread::yield_now();
+                    now = self.clock.now();
+                }
+                ReceiveStep::Wait => return self.wait_for_datagram(buffer, now),
+                ReceiveStep::Poll => {
+                    match recv(self.socket.as_raw_fd(), buffer, MsgFlags::MSG_DONTWAIT) {
+                        Err(Errno::EAGAIN) => socket_empty = true,
+                        received => return received.map_err(std::io::Error::from),
+                    }
+                }
+            }
         }
+    }
+
+    /// Waits for a datagram at a socket that was found empty after `checked_at`.
+    ///
+    /// Only then are timeouts processed: answers in the socket buffer must not be overlooked.
+    fn wait_for_datagram(
+        &mut self,
+        buffer: &mut [u8],
+        checked_at: Duration,
+    ) -> std::io::Result<usize> {
         self.router.process_timeouts(checked_at);
         self.update_read_timeout();
         self.socket.recv(buffer)
