The traffic thread gives way to the others after 100 ms without a wait

Cause: under overload the traffic thread's socket never empties, so it never waits. The control thread ran only when the system ended a turn: ticks 0.5 s apart, 2.1 to 4.7 s on slowed hosts (trials with trace lines), and a drain takes several of its turns. A thread that waits for packets does not give way besides.

--- a/crates/mustardgrade-core/src/scheduling/receive_schedule.rs
+++ b/crates/mustardgrade-core/src/scheduling/receive_schedule.rs
@@ -2,6 +2,10 @@
 
 use std::time::Duration;
 
+/// Longest turn of the thread while its socket does not become empty, the interval of the control
+/// thread's ticks. A drain takes several turns of the control thread to reach all hosts.
+const MAX_TURN: Duration = Duration::from_millis(100);
+
 /// `ReceiveStep` is the next step of a traffic thread.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ReceiveStep {
@@ -15,15 +19,24 @@
 
 /// `ReceiveSchedule` decides when a traffic thread polls its socket, waits for it, or gives way.
 #[derive(Debug, Clone, Default)]
-pub struct ReceiveSchedule;
+pub struct ReceiveSchedule {
+    /// Start of the current turn; a turn ends when the thread waits or gives way.
+    turn_started_at: Option<Duration>,
+}
 
 impl ReceiveSchedule {
     /// Returns the next step at `now`; `socket_empty` tells whether a poll at that time has found no
     /// packet.
-    pub fn next_step(&mut self, socket_empty: bool, _now: Duration) -> ReceiveStep {
-        match socket_empty {
+    pub fn next_step(&mut self, socket_empty: bool, now: Duration) -> ReceiveStep {
+        let turn_started_at = *self.turn_started_at.get_or_insert(now);
+        let step = match socket_empty {
             true => ReceiveStep::Wait,
+            false if now.saturating_sub(turn_started_at) >= MAX_TURN => ReceiveStep::Yield,
             false => ReceiveStep::Poll,
+        };
+        if step != ReceiveStep::Poll {
+            self.turn_started_at = None;
         }
+        step
     }
 }
