A host that has stalled recovers as after a partition

What callers saw: open flows whose packets went to another upstream after all hosts of a data centre had stalled (a data centre of one overloaded host is enough).

Cause: a host that does not run for over 2 s counts as dead for its peers. If it was the last of its data centre, they take the data centre for unreachable and place new flows of its upstreams elsewhere. The host hears nothing of it: its clock of silence stands still while it stalls, so no peer has timed out for it and no recovery starts. Its first tick, or a digest that waited in its socket, confirmed its tables, and it routed the others' flows as computed. That its own silence was not seen stood for proof that nobody had acted on it.

Change: 1.2 s without any input (the fence timeout; ticks come every 100 ms) starts the recovery that follows a partition: the tables count as unconfirmed until the views agree and the exceptions of all live peers are fetched. Digests that may have waited in the socket are no evidence of agreement: each live peer must be heard from again two heartbeat intervals later. A host that stalls while it joins fetches the exceptions again.

--- a/crates/mustardgrade-core/src/membership/controller.rs
+++ b/crates/mustardgrade-core/src/membership/controller.rs
@@ -84,6 +84,8 @@
     pub(super) unchanged_plan: Option<PlanDependencies>,
     /// Whether the state has changed since the last call of `process_changes`.
     pub(super) has_pending_changes: bool,
+    /// Time of the last input; ticks keep it close to the current time unless the host stalls.
+    pub(super) last_input_at: Option<Duration>,
 }
 
 impl HostController {
@@ -120,6 +122,7 @@
             last_snapshot_dependencies: None,
             unchanged_plan: None,
             has_pending_changes: false,
+            last_input_at: None,
         }
     }
 
@@ -212,6 +215,7 @@
         now: Duration,
         outputs: &mut Vec<ControllerOutput>,
     ) {
+        self.detect_stall(now, outputs);
         let digest_before = self.digest();
         match input {
             ControllerInput::Tick => self.tick(now, outputs),
@@ -271,7 +275,7 @@
             && self.join_step == JoinStep::Joined
             && self.options.placement_mode == PlacementMode::Guarded
         {
-            self.start_partition_recovery();
+            self.start_partition_recovery(self.members.active_time());
             outputs.push(ControllerOutput::SetTablesConfirmedAt(Duration::ZERO));
         }
         self.has_pending_changes = true;
--- a/crates/mustardgrade-core/src/membership/lifecycle.rs
+++ b/crates/mustardgrade-core/src/membership/lifecycle.rs
@@ -8,6 +8,7 @@
 use super::digest::{HostDigest, HostState};
 use super::events::ControllerOutput;
 use super::steps::{JoinStep, LeaveStep, PartitionRecovery};
+use crate::flow::PlacementMode;
 
 /// Maximum time that a join or a partition recovery waits for the views of all hosts to agree.
 const CONVERGENCE_TIMEOUT: Duration = Duration::from_secs(3);
@@ -40,14 +41,47 @@
         }
     }
 
-    /// Starts to collect the exceptions that other hosts recorded during a partition.
-    pub(super) fn start_partition_recovery(&mut self) {
+    /// Starts a recovery if this host has not run for so long that others may have taken it for dead
+    /// and placed flows without it. It has heard nothing of that: its own clock of silence stood still,
+    /// and the first digests that it reads have waited since the stall began.
+    pub(super) fn detect_stall(&mut self, now: Duration, outputs: &mut Vec<ControllerOutput>) {
+        let options = self.options.member_table;
+        let elapsed = self.last_input_at.map_or(Duration::ZERO, |last| now.saturating_sub(last));
+        self.last_input_at = Some(now);
+        if elapsed <= options.fence_timeout || self.options.placement_mode != PlacementMode::Guarded
+        {
+            return;
+        }
+        let active_time = self.members.active_time();
+        match self.join_step {
+            // The next tick counts one interval for the stall; waiting digests are read during the
+            // one after it.
+            JoinStep::Joined => {
+                self.start_partition_recovery(active_time + options.heartbeat_interval * 2);
+                outputs.push(ControllerOutput::SetTablesConfirmedAt(Duration::ZERO));
+            }
+            JoinStep::AwaitingConvergence(_) | JoinStep::FetchingRecords => {
+                self.has_all_exceptions = false;
+                self.join_step = JoinStep::FetchingExceptions(active_time);
+            }
+            JoinStep::DataCentreOutOfService
+            | JoinStep::FetchingConfiguration
+            | JoinStep::FetchingExceptions(_) => {}
+        }
+    }
+
+    /// Starts to collect the exceptions that other hosts recorded during a partition. The views of
+    /// other hosts count from `views_from` on, in active time.
+    pub(super) fn start_partition_recovery(&mut self, views_from: Duration) {
+        let earlier = self.partition_recovery.as_ref().map(|recovery| recovery.views_from);
+        let views_from = earlier.map_or(views_from, |earlier| earlier.max(views_from));
         self.has_all_exceptions = false;
         // Peers must not take over exceptions from this host, nor end moves, until it has caught up.
         self.settled_generation = 0;
         let since = self.members.active_time();
+        let pending_peers = BTreeSet::new();
         self.partition_recovery =
-            Some(PartitionRecovery { since, fetch_started: false, pending_peers: BTreeSet::new() });
+            Some(PartitionRecovery { since, views_from, fetch_started: false, pending_peers });
     }
 
     /// Fetches the exceptions of all live hosts once their views agree or the timeout has passed.
@@ -58,7 +92,10 @@
         outputs: &mut Vec<ControllerOutput>,
     ) {
         let view_hash = self.digest().view_hash;
-        let views_converged = self.members.is_converged(view_hash);
+        let views_from =
+            self.partition_recovery.as_ref().map_or(Duration::ZERO, |recovery| recovery.views_from);
+        let views_converged =
+            self.members.is_converged(view_hash) && self.members.has_heard_all_since(views_from);
         let active_time = self.members.active_time();
         let live_peers: BTreeSet<Ipv4Addr> = self.live_peer_addresses().into_iter().collect();
         let Some(recovery) = &mut self.partition_recovery else { return };
--- a/crates/mustardgrade-core/src/membership/member.rs
+++ b/crates/mustardgrade-core/src/membership/member.rs
@@ -209,6 +209,12 @@
         self.live_members().all(|member| member.digest.view_hash == view_hash)
     }
 
+    /// Returns whether a digest of every live host has been received at `at` or later, in active time.
+    #[must_use]
+    pub fn has_heard_all_since(&self, at: Duration) -> bool {
+        self.live_members().all(|member| member.received_at >= at)
+    }
+
     /// Returns whether every live host that routes traffic has at least this rules revision in
     /// force.
     #[must_use]
--- a/crates/mustardgrade-core/src/membership/steps.rs
+++ b/crates/mustardgrade-core/src/membership/steps.rs
@@ -29,6 +29,8 @@
 pub(super) struct PartitionRecovery {
     /// Active time of the member table at the start of the recovery.
     pub(super) since: Duration,
+    /// Active time from which digests tell what their senders see now.
+    pub(super) views_from: Duration,
     /// Whether the exceptions have been requested from the live peers.
     pub(super) fetch_started: bool,
     /// Live peers that have not answered yet.
--- a/crates/mustardgrade-core/src/membership/tests.rs
+++ b/crates/mustardgrade-core/src/membership/tests/mod.rs
@@ -10,6 +10,8 @@
 use crate::placement::{PlacementMap, PlannerOptions};
 use crate::rule::RuleSet;
 
+mod stalled_host;
+
 const DATA_CENTRE: DataCentreId = DataCentreId(1);
 
 fn digest(host: u64, incarnation: u64, sequence: u64) -> HostDigest {
