--- a/crates/mustardgrade-core/src/flow/record_sync.rs
+++ b/crates/mustardgrade-core/src/flow/record_sync.rs
@@ -96,8 +96,9 @@
             }
             self.records.retain(route.service, |record| !is_steady(record));
             self.openings.retain(route.service, |record| !is_steady(record));
+            // An upstream that this table does not have yet was told by a host with a later one.
             self.exceptions.retain(route.service, |record| {
-                route.upstream(record.upstream).is_some_and(|upstream| upstream.accepts_packets)
+                route.upstream(record.upstream).is_none_or(|upstream| upstream.accepts_packets)
             });
         }
         self.queue_transfers(&snapshot);
--- a/crates/mustardgrade-core/src/membership/controller.rs
+++ b/crates/mustardgrade-core/src/membership/controller.rs
@@ -56,6 +56,8 @@
     pub(super) planner: PlacementPlanner,
     pub(super) rules: Option<StoredRules>,
     pub(super) placement: StoredPlacement,
+    /// Placement that was planned from later rules than those in force.
+    pub(super) pending_placement: Option<StoredPlacement>,
     /// Settling buckets whose exceptions are installed on this host.
     pub(super) covered_buckets: BTreeMap<ServiceId, BTreeSet<BucketIndex>>,
     /// Whether the exceptions of all completed moves are installed on this host.
@@ -102,6 +104,7 @@
             options,
             rules: None,
             placement: Arc::new(PlacementMap::default()),
+            pending_placement: None,
             covered_buckets: BTreeMap::new(),
             has_all_exceptions: false,
             partition_recovery: None,
@@ -224,9 +227,9 @@
             ControllerInput::PeerAddressesReceived(addresses) => {
                 self.members.set_learned_addresses(addresses)
             }
-            ControllerInput::RulesReceived(rules) => self.apply_rules(rules),
+            ControllerInput::RulesReceived(rules) => self.apply_rules(rules, now),
             ControllerInput::PlacementReceived(placement) => self.apply_placement(placement, now),
-            ControllerInput::RulesRead(stored) => self.handle_rules_read(stored, outputs),
+            ControllerInput::RulesRead(stored) => self.handle_rules_read(stored, now, outputs),
             ControllerInput::PlacementRead(stored) => {
                 self.handle_placement_read(stored, now, outputs)
             }
@@ -303,8 +306,9 @@
         }
     }
 
-    /// Puts rules in force if they are newer than the current ones.
-    pub(super) fn apply_rules(&mut self, rules: StoredRules) {
+    /// Puts rules in force if they are newer than the current ones, and the placement that has waited
+    /// for them.
+    pub(super) fn apply_rules(&mut self, rules: StoredRules, now: Duration) {
         if self.rules.as_ref().is_some_and(|known| known.revision >= rules.revision) {
             return;
         }
@@ -321,13 +325,26 @@
         self.members.set_out_of_service(out_of_service);
         self.rules = Some(rules);
         self.has_pending_changes = true;
+        if let Some(placement) = self.pending_placement.take() {
+            self.apply_placement(placement, now);
+        }
     }
 
-    /// Puts a placement in force if it is newer than the current one.
+    /// Puts a placement in force if it is newer than the current one. A host that routes already first
+    /// waits for the rules that the placement was planned from: an upstream that is missing in older
+    /// rules would count as gone.
     pub(super) fn apply_placement(&mut self, placement: StoredPlacement, now: Duration) {
         if placement.generation <= self.placement.generation {
             return;
         }
+        let local_revision = self.rules.as_ref().map_or(0, |rules| rules.revision);
+        if self.placement.generation > 0 && placement.rules_revision > local_revision {
+            let pending = self.pending_placement.as_ref().map_or(0, |pending| pending.generation);
+            if placement.generation > pending {
+                self.pending_placement = Some(placement);
+            }
+            return;
+        }
         self.last_fetch_at = None;
         self.detect_missed_exceptions(&placement);
         self.planner.track_collecting_buckets(&placement, now);
--- a/crates/mustardgrade-core/src/membership/store_repair.rs
+++ b/crates/mustardgrade-core/src/membership/store_repair.rs
@@ -19,15 +19,16 @@
     pub(super) fn handle_rules_read(
         &mut self,
         stored: Option<StoredRules>,
+        now: Duration,
         outputs: &mut Vec<ControllerOutput>,
     ) {
         let replaced_revision = stored.as_ref().map_or(0, |stored| stored.revision);
         let rules = match (self.rules.clone(), stored) {
             (None, None) => return,
-            (None, Some(stored)) => return self.apply_rules(stored),
+            (None, Some(stored)) => return self.apply_rules(stored, now),
             (Some(known), None) => known,
             (Some(known), Some(stored)) => match known.relation_of(&stored) {
-                RulesRelation::Newer => return self.apply_rules(stored),
+                RulesRelation::Newer => return self.apply_rules(stored, now),
                 RulesRelation::Current => return,
                 RulesRelation::Lost => known,
                 RulesRelation::Diverged => known.followed_by(&stored),
--- a/crates/mustardgrade-core/src/membership/tests/mod.rs
+++ b/crates/mustardgrade-core/src/membership/tests/mod.rs
@@ -11,6 +11,7 @@
 use crate::rule::RuleSet;
 
 mod stalled_host;
+mod uneven_knowledge;
 
 const DATA_CENTRE: DataCentreId = DataCentreId(1);
 
