--- a/crates/mustardgrade-core/src/membership/controller.rs
+++ b/crates/mustardgrade-core/src/membership/controller.rs
@@ -378,6 +378,7 @@
             return;
         }
         self.has_pending_changes = false;
+        self.revoke_tables_without_exceptions(outputs);
         self.install_snapshot(outputs);
         self.confirm_tables(now, outputs);
         self.fetch_bucket_exceptions(now, outputs);
--- a/crates/mustardgrade-core/src/membership/publishing.rs
+++ b/crates/mustardgrade-core/src/membership/publishing.rs
@@ -84,6 +84,14 @@
         outputs.push(ControllerOutput::InstallSnapshot(snapshot));
     }
 
+    /// Revokes the confirmation of the tables while exceptions are missing; an earlier confirmation
+    /// would outlast the snapshot that needs them.
+    pub(super) fn revoke_tables_without_exceptions(&self, outputs: &mut Vec<ControllerOutput>) {
+        if self.state() != HostState::Joining && !self.has_all_exceptions {
+            outputs.push(ControllerOutput::SetTablesConfirmedAt(Duration::ZERO));
+        }
+    }
+
     /// Confirms to the traffic threads that the tables are up to date, unless the host is joining,
     /// lacks exceptions, is behind a live host, or is fenced.
     pub(super) fn confirm_tables(&self, now: Duration, outputs: &mut Vec<ControllerOutput>) {
--- a/crates/mustardgrade-core/src/membership/tests/uneven_knowledge.rs
+++ b/crates/mustardgrade-core/src/membership/tests/uneven_knowledge.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddrV4;
 
+use super::super::steps::JoinStep;
 use super::*;
 use crate::flow::{
     BindingRecord, FlowKey, FlowOptions, FlowPacket, FlowRouter, FlowVerdict, SegmentFlags,
@@ -99,3 +100,30 @@
     };
     assert_eq!(upstream, UpstreamId::from_name("desk-2"));
 }
+
+/// Returns a placement with all buckets at `phase` of a move from the first upstream to the second.
+fn moving_placement(generation: u64, phase: BucketPhase) -> Arc<PlacementMap> {
+    let mut map = (*placement(generation, 5, &["desk-1", "desk-2"])).clone();
+    let source_upstream = u16::from(phase == BucketPhase::Steady);
+    map.tables[0].buckets.fill(BucketPlacement { source_upstream, target_upstream: 1, phase });
+    Arc::new(map)
+}
+
+#[test]
+fn host_that_missed_the_exceptions_of_an_ended_move_does_not_route_by_its_end_unfenced() {
+    let mut host = RoutingHost::new();
+    let rules = format!("{RULES_OF_ONE_UPSTREAM}{SECOND_UPSTREAM}");
+    host.handle(ControllerInput::RulesReceived(parsed_rules(5, &rules)));
+    host.handle(ControllerInput::PlacementReceived(moving_placement(7, BucketPhase::Settling)));
+    host.controller.join_step = JoinStep::Joined;
+    host.controller.has_all_exceptions = true;
+    let mut outputs = Vec::new();
+    let ended = ControllerInput::PlacementReceived(moving_placement(8, BucketPhase::Steady));
+    host.controller.handle(ended, NOW, &mut outputs);
+    let revocation = ControllerOutput::SetTablesConfirmedAt(Duration::ZERO);
+    let position =
+        |is_wanted: &dyn Fn(&ControllerOutput) -> bool| outputs.iter().position(is_wanted);
+    let revoked = position(&|output| *output == revocation);
+    let installed = position(&|output| matches!(output, ControllerOutput::InstallSnapshot(_)));
+    assert!(revoked.is_some() && revoked < installed, "{revoked:?}, {installed:?}");
+}
