A joining host waits for peers that are behind with exceptions

What callers would see: open flows at other upstreams, from a host that joined while its peers were collecting exceptions for longer than 2 s.

Cause: a host that joins asks a peer that has settled the placement in force. If it saw none 2 s after it had begun, it took that for "there are no exceptions" and served without any. Peers that are overloaded, or are in the middle of a recovery, report that they are behind; so did all peers in the moment after each new generation, which is enough if the first 2 s went by in failed fetches.

Change: only if no live peer serves at all does a joining host go on without exceptions.

--- a/crates/mustardgrade-core/src/membership/lifecycle.rs
+++ b/crates/mustardgrade-core/src/membership/lifecycle.rs
@@ -7,6 +7,7 @@
 use super::controller::{FETCH_RETRY_INTERVAL, HostController};
 use super::digest::{HostDigest, HostState};
 use super::events::ControllerOutput;
+use super::member::KnownHost;
 use super::steps::{JoinStep, LeaveStep, PartitionRecovery};
 use crate::flow::PlacementMode;
 
@@ -197,11 +198,13 @@
         outputs: &mut Vec<ControllerOutput>,
     ) {
         let active_time = self.members.active_time();
-        if self.next_serving_peer().is_none()
+        // A peer that serves but has not settled the local placement yet has exceptions to wait for.
+        let is_serving = |member: &KnownHost| member.digest.state == HostState::Serving;
+        if !self.members.live_members().any(is_serving)
             && active_time > since + self.options.member_table.silence_timeout
         {
-            // Even after the silence timeout, no live peer serves with a placement as new as the
-            // local one, so there are no exceptions to fetch.
+            // Even after the silence timeout no live peer serves, so there are no exceptions to
+            // fetch.
             self.has_all_exceptions = true;
             self.join_step = JoinStep::AwaitingConvergence(active_time);
             self.update_settled_generation();
--- a/crates/mustardgrade-core/src/membership/tests/stalled_host.rs
+++ b/crates/mustardgrade-core/src/membership/tests/stalled_host.rs
@@ -108,3 +108,12 @@
     assert!(host.has_fetched_exceptions());
     assert_eq!(host.controller.state(), HostState::Joining);
 }
+
+#[test]
+fn joining_host_does_not_take_peers_that_are_behind_for_peers_without_exceptions() {
+    let mut host = TestHost::at_step(JoinStep::FetchingExceptions(Duration::ZERO));
+    host.run_for(Duration::from_secs(4), Some(6));
+    assert!(matches!(host.controller.join_step, JoinStep::FetchingExceptions(_)));
+    host.run_for(Duration::from_secs(1), Some(7));
+    assert!(host.has_fetched_exceptions());
+}
