A ticket of a later incarnation than known goes to its dispatcher

What callers would see: "outcome unknown" for a request that never ran, though its dispatcher would run it.

Cause: a host that hears late knows the former incarnation of a restarted dispatcher. It took the incarnation in the ticket, which another host had issued since, for an earlier one that had ended.

Change: only a ticket of an earlier incarnation than known is answered by the origin. Others go to the dispatcher, which runs its own tickets only and answers "unknown" to all others, so that nothing runs twice.

Evidence: the test gets "unknown" without the change.

--- a/crates/mustardgrade-core/src/request/origin.rs
+++ b/crates/mustardgrade-core/src/request/origin.rs
@@ -156,8 +156,9 @@
         };
         let dispatcher = ticket.dispatcher;
         let current = self.snapshot.live_incarnation(dispatcher.host);
-        if current.is_some_and(|current| current != dispatcher) {
-            // The earlier incarnation may have executed the request before it ended.
+        if current.is_some_and(|current| current.incarnation > dispatcher.incarnation) {
+            // The earlier incarnation may have executed the request before it ended. Of a later one
+            // this host has not heard yet; the dispatcher itself knows which of the two it is.
             self.counters.unknown_outcomes += 1;
             return self.reply_to_caller(&request, CallerReply::OutcomeUnknown, outputs);
         }
--- a/crates/mustardgrade-core/src/request/tests.rs
+++ b/crates/mustardgrade-core/src/request/tests.rs
@@ -229,3 +229,15 @@
     report.push(format!("slow: {}", limit.current()));
     expect!["1 1 1 1 1 1 1 2 2 2 2 2 2 2 2 3 3 3 3 3 3 3 3 4 4 4 4 4 4 4 one lost: 4 two lost: 3 slow: 1"].assert_eq(&report.join(" "));
 }
+
+#[test]
+fn ticket_of_an_incarnation_that_this_host_has_not_heard_of_goes_to_its_dispatcher() {
+    let mut restarted = router_for_run(1, 2);
+    restarted.install(snapshot_with_dispatcher_run(2));
+    let ticket = obtain_ticket(&mut restarted);
+    let mut late_host = router_for_run(2, 1);
+    late_host.install(snapshot_with_dispatcher_run(1));
+    let request = RequestInput::Caller(post_request(2, Some(ticket)));
+    let outputs = handle_at(&mut late_host, request, Duration::ZERO);
+    assert!(summarize(&outputs).starts_with("send to"), "{}", summarize(&outputs));
+}
