A dispatcher that has stalled gives up no request whose answer waits for it

What callers saw: "busy", "not run" or "outcome unknown" from a dispatcher that had stalled, while the answer lay in its receive queue; it was dropped when it was read. Afterwards, refusals while upstreams were idle.

Cause: the first tick after a stall took the time that the host itself had lost for silence of the upstream. Idempotent requests older than six service times went back to their origin, others were overdue; the answers that came in with the delay counted as slow and set the upstream's limit back to 1, as if it were cold. The origin took a dispatcher's report that waited for it for a missing one in the same way.

Change: 30 ms without any input (ticks come every 10 ms) is a stall. The first tick after one leaves in-flight and pending requests alone, so that what waits is read first; the next one judges them, so a host that stalls all the time ends them too. An answer to a request from before the stall has no known service time: it counts for the limit, but not as slow.

--- a/crates/mustardgrade-core/src/request/concurrency_limit.rs
+++ b/crates/mustardgrade-core/src/request/concurrency_limit.rs
@@ -97,6 +97,16 @@
         if self.limit == self.slots {
             self.update_baseline(service_time);
         }
+        self.count_response();
+    }
+
+    /// Records a response whose service time is not known, since this host stalled meanwhile.
+    pub fn record_untimed_response(&mut self) {
+        self.consecutive_timeouts = 0;
+        self.count_response();
+    }
+
+    fn count_response(&mut self) {
         self.responses_since_increase += 1;
         if self.responses_since_increase >= self.options.responses_per_increase {
             self.responses_since_increase = 0;
--- a/crates/mustardgrade-core/src/request/dispatcher.rs
+++ b/crates/mustardgrade-core/src/request/dispatcher.rs
@@ -253,10 +253,16 @@
             self.counters.unmatched_responses += 1;
             return;
         };
+        let has_stalled = in_flight.dispatched_at < self.resumed_at;
         let queue = self.queue_for(upstream);
         match reply {
             UpstreamReply::Response(response) => {
-                queue.limit.record_response(now.saturating_sub(in_flight.dispatched_at));
+                match has_stalled {
+                    true => queue.limit.record_untimed_response(),
+                    false => {
+                        queue.limit.record_response(now.saturating_sub(in_flight.dispatched_at))
+                    }
+                }
                 self.deliver_response(&in_flight, upstream, response, outputs);
             }
             UpstreamReply::Shed => {
--- a/crates/mustardgrade-core/src/request/expiry.rs
+++ b/crates/mustardgrade-core/src/request/expiry.rs
@@ -3,26 +3,63 @@
 use std::time::Duration;
 
 use super::message::{CallerReply, RequestOutput};
-use super::router::{ABANDONED_SLOT_HOLD, RETRY_LATENCY_FACTOR, RequestRouter};
+use super::router::{
+    ABANDONED_SLOT_HOLD, RETRY_LATENCY_FACTOR, RequestRouter, STALL_DRAIN_TIME, STALL_THRESHOLD,
+};
 use super::upstream_queue::{AcceptedRequest, InFlightRequest};
 use crate::identity::UpstreamId;
 
 impl RequestRouter {
+    /// Notes when a stall of this host ends.
+    pub(super) fn detect_stall(&mut self, now: Duration) {
+        let elapsed = self.last_input_at.map_or(Duration::ZERO, |last| now.saturating_sub(last));
+        if elapsed > STALL_THRESHOLD {
+            self.resumed_at = now;
+        }
+        self.last_input_at = Some(now);
+    }
+
+    /// Returns whether answers to in-flight requests may still wait in the receive queue. Only one
+    /// tick in succession is left out for them, so that a host that stalls all the time ends requests too.
+    fn defer_expiry(&mut self, now: Duration) -> bool {
+        let is_draining = now < self.resumed_at + STALL_DRAIN_TIME;
+        self.expiry_deferred = is_draining && !self.expiry_deferred;
+        self.expiry_deferred
+    }
+
     /// Runs the periodic processing of all queues and pending requests.
     pub(super) fn tick(&mut self, now: Duration, outputs: &mut Vec<RequestOutput>) {
         let upstreams: Vec<UpstreamId> = self.upstream_queues.keys().copied().collect();
+        let expiry_deferred = self.defer_expiry(now);
         for upstream in upstreams {
-            self.expire_requests(upstream, now, outputs);
+            self.refuse_late_waiting(upstream, now, outputs);
+            if !expiry_deferred {
+                self.expire_in_flight(upstream, now, outputs);
+            }
             self.return_reassigned(upstream, now, outputs);
             self.dispatch_waiting(upstream, now, outputs);
         }
         self.accepted_until.retain(|_, deadline| *deadline > now);
-        self.reply_for_silent_dispatchers(now, outputs);
+        if !expiry_deferred {
+            self.reply_for_silent_dispatchers(now, outputs);
+        }
     }
 
-    /// Refuses waiting requests that can no longer be served in time, and ends in-flight requests
-    /// past their deadlines.
-    pub(super) fn expire_requests(
+    /// Refuses waiting requests that can no longer be served in time.
+    fn refuse_late_waiting(
+        &mut self,
+        upstream: UpstreamId,
+        now: Duration,
+        outputs: &mut Vec<RequestOutput>,
+    ) {
+        let Some(queue) = self.upstream_queues.get_mut(&upstream) else { return };
+        for accepted in queue.take_unserviceable(now) {
+            self.refuse_unserviceable(&accepted, outputs);
+        }
+    }
+
+    /// Ends in-flight requests past their deadlines, and returns slow idempotent ones.
+    fn expire_in_flight(
         &mut self,
         upstream: UpstreamId,
         now: Duration,
@@ -31,7 +68,6 @@
         let Some(queue) = self.upstream_queues.get_mut(&upstream) else {
             return;
         };
-        let unserviceable = queue.take_unserviceable(now);
         let mut overdue = Vec::new();
         for (exchange_id, in_flight) in &mut queue.in_flight {
             if !in_flight.abandoned && in_flight.accepted.deadline <= now {
@@ -45,9 +81,6 @@
         for _ in &overdue {
             queue.limit.record_timeout();
         }
-        for accepted in unserviceable {
-            self.refuse_unserviceable(&accepted, outputs);
-        }
         self.return_slow_idempotent(upstream, now, outputs);
         let address = self.snapshot.upstream(upstream).map(|upstream| upstream.address);
         for (exchange_id, accepted) in overdue {
--- a/crates/mustardgrade-core/src/request/router.rs
+++ b/crates/mustardgrade-core/src/request/router.rs
@@ -117,6 +117,12 @@
     pub(super) retry_credit: u32,
     pub(super) rng: ChaCha8Rng,
     pub(super) is_leaving: bool,
+    /// Time of the last input; ticks keep it close to the current time unless the host stalls.
+    pub(super) last_input_at: Option<Duration>,
+    /// Time at which the last stall of this host ended.
+    pub(super) resumed_at: Duration,
+    /// Whether the last tick left in-flight requests alone, since their answers may have waited.
+    pub(super) expiry_deferred: bool,
     pub(super) counters: RequestCounters,
 }
 
@@ -138,6 +144,13 @@
 /// Delay between a final reply and its repetition.
 pub(super) const REPLY_REPEAT_DELAY: Duration = Duration::from_millis(200);
 
+/// Time without any input, ticks among them, after which this host has stalled: it has heard late, and
+/// what it has not heard says nothing of an upstream.
+pub(super) const STALL_THRESHOLD: Duration = Duration::from_millis(30);
+
+/// Time after a stall for which answers may still wait in the receive queue; one tick interval.
+pub(super) const STALL_DRAIN_TIME: Duration = Duration::from_millis(10);
+
 /// Multiple of the baseline service time after which an unanswered idempotent request is retried
 /// elsewhere; responses that are merely slow arrive earlier.
 pub(super) const RETRY_LATENCY_FACTOR: u32 = 6;
@@ -161,6 +174,9 @@
             retry_credit: MAX_RETRY_CREDIT,
             rng: ChaCha8Rng::seed_from_u64(options.seed),
             is_leaving: false,
+            last_input_at: None,
+            resumed_at: Duration::ZERO,
+            expiry_deferred: false,
             counters: RequestCounters::default(),
             options,
         }
@@ -196,6 +212,7 @@
 
     /// Processes one input and appends the resulting actions to `outputs`.
     pub fn handle(&mut self, input: RequestInput, now: Duration, outputs: &mut Vec<RequestOutput>) {
+        self.detect_stall(now);
         match input {
             RequestInput::Caller(request) => self.handle_caller_request(request, now, outputs),
             RequestInput::Peer(RequestPeerMessage::Forward(forwarded)) => {
--- a/crates/mustardgrade-core/src/request/tests.rs
+++ b/crates/mustardgrade-core/src/request/tests.rs
@@ -241,3 +241,54 @@
     let outputs = handle_at(&mut late_host, request, Duration::ZERO);
     assert!(summarize(&outputs).starts_with("send to"), "{}", summarize(&outputs));
 }
+
+fn get_request(message_id: u16) -> RequestInput {
+    RequestInput::Caller(CallerRequest { idempotent: true, ..post_request(message_id, None) })
+}
+
+fn response_to(dispatched: &[RequestOutput]) -> RequestInput {
+    let exchange_id = dispatched_exchange_id(dispatched);
+    let reply = UpstreamReply::Response(b"draw".to_vec());
+    RequestInput::Upstream { upstream: UpstreamId(7), exchange_id, reply }
+}
+
+/// Returns a dispatcher whose upstream has answered requests within 10 ms until `end`.
+fn warm_dispatcher(end: Duration) -> RequestRouter {
+    let mut dispatcher = router_for_run(1, 1);
+    dispatcher.install(snapshot_with_dispatcher_run(1));
+    let mut elapsed = Duration::ZERO;
+    while elapsed < end {
+        let dispatched =
+            handle_at(&mut dispatcher, get_request(elapsed.as_millis() as u16), elapsed);
+        elapsed += Duration::from_millis(10);
+        handle_at(&mut dispatcher, response_to(&dispatched), elapsed);
+        handle_at(&mut dispatcher, RequestInput::Tick, elapsed);
+    }
+    dispatcher
+}
+
+#[test]
+fn dispatcher_that_stalled_gives_up_no_request_whose_answer_waits_for_it() {
+    for stall_ms in [150, 3_000] {
+        let start = Duration::from_millis(500);
+        let mut dispatcher = warm_dispatcher(start);
+        let dispatched = handle_at(&mut dispatcher, get_request(9_000), start);
+        let resumed_at = start + Duration::from_millis(stall_ms);
+        let at_tick = handle_at(&mut dispatcher, RequestInput::Tick, resumed_at);
+        let at_answer = handle_at(&mut dispatcher, response_to(&dispatched), resumed_at);
+        let limit = dispatcher.upstream_queues()[&UpstreamId(7)].limit.current();
+        assert_eq!([summarize(&at_tick), summarize(&at_answer)], ["", "draw"]);
+        assert_eq!(limit, 2, "the stall does not count as service time");
+    }
+}
+
+#[test]
+fn dispatcher_that_stalls_again_and_again_still_ends_requests_without_an_answer() {
+    let start = Duration::from_millis(500);
+    let mut dispatcher = warm_dispatcher(start);
+    handle_at(&mut dispatcher, get_request(9_000), start);
+    let mut tick_after = |seconds| {
+        handle_at(&mut dispatcher, RequestInput::Tick, start + Duration::from_secs(seconds))
+    };
+    assert_eq!([3, 4].map(|seconds| summarize(&tick_after(seconds))), ["", "cancel, unknown"]);
+}
