A late copy of an opening does not move an open flow

What callers would see: an open flow whose packets go to another upstream shortly after its bucket began to move.

Cause: an opening segment always counted as a new flow. A copy of it that waited for seconds in the receive queue of an overloaded host, while the other copy opened the flow on the source of the move, was recorded on the target; the record then overruled what hosts knew of the open flow.

Change: an opening segment of a flow that the host, or the owner of its bucket, has seen open on the source within 5 s goes to the source. That does no harm to a new flow on a port that is used again so soon: it is recorded there, or waits if the source takes no new flows.

Left: a copy that reaches a host and an owner that both have not seen the flow; they cannot tell it from an opening.

--- a/crates/mustardgrade-core/src/flow/owner.rs
+++ b/crates/mustardgrade-core/src/flow/owner.rs
@@ -89,7 +89,7 @@
         let claim = claim.or_else(|| self.look_up_flow(context, false).upstream());
         let upstream = match assigned {
             Some(upstream) => upstream,
-            None if opens_flow => context.placement.upstream_for_new_flow(),
+            None if opens_flow => claim.unwrap_or(context.placement.upstream_for_new_flow()),
             None => claim.unwrap_or(context.placement.upstream_for_unrecorded_flow()),
         };
         if opens_flow
--- a/crates/mustardgrade-core/src/flow/router.rs
+++ b/crates/mustardgrade-core/src/flow/router.rs
@@ -16,7 +16,7 @@
 use super::packet::FlowPacket;
 use super::records::{BindingRecord, RecordTable};
 use super::snapshot::{RoutingSnapshot, ServiceRoute};
-use super::table::{FlowTable, InsertOutcome};
+use super::table::{FlowEntry, FlowTable, InsertOutcome};
 use crate::identity::{HostId, ServiceId, UpstreamId};
 use crate::placement::{BucketIndex, BucketPlacement};
 
@@ -24,6 +24,10 @@
 /// same live hosts.
 pub(super) const MAX_HOPS: u8 = 4;
 
+/// Time since the last packet of a flow within which an opening segment counts as a late copy; callers
+/// that use a port again so soon open on the same upstream, or wait if it takes no new flows.
+const LATE_OPENING_MAX_AGE: Duration = Duration::from_secs(5);
+
 /// `PlacementMode` selects how a flow is kept on its upstream while buckets move.
 #[derive(Debug, Display, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -345,7 +349,7 @@
         is_fenced: bool,
     ) -> FlowLookup {
         if context.packet.opens_flow() {
-            return FlowLookup::Unknown;
+            return self.look_up_opened_flow(context);
         }
         let guard = self.guard_of(context.route.service, context.bucket);
         let epoch = guard.epoch;
@@ -372,6 +376,24 @@
         FlowLookup::Unknown
     }
 
+    /// Looks up the flow of an opening segment, which may be a copy that has waited at a host while the
+    /// flow opened. As a new flow it would be recorded on the target of the move, away from the
+    /// upstream that the flow is on.
+    fn look_up_opened_flow(&self, context: PacketContext<'_>) -> FlowLookup {
+        let epoch = self.guard_epoch(context.route.service, context.bucket);
+        let entry =
+            self.flow_table.get_recent(context.fingerprint, LATE_OPENING_MAX_AGE, context.now);
+        let is_open_on_source = |entry: &FlowEntry| {
+            !entry.is_opening
+                && entry.guard_epoch != epoch
+                && entry.upstream == context.placement.source_upstream
+        };
+        match entry.filter(is_open_on_source) {
+            Some(entry) => FlowLookup::Unconfirmed(entry.upstream),
+            None => FlowLookup::Unknown,
+        }
+    }
+
     pub(super) fn forward_to_host(
         &mut self,
         context: PacketContext<'_>,
--- a/crates/mustardgrade-core/src/flow/table.rs
+++ b/crates/mustardgrade-core/src/flow/table.rs
@@ -79,6 +79,24 @@
         Some(entry)
     }
 
+    /// Returns the entry of a flow of which a packet was seen within `max_age`; does not restart its
+    /// idle timeout.
+    #[must_use]
+    pub fn get_recent(
+        &self,
+        fingerprint: u64,
+        max_age: Duration,
+        now: Duration,
+    ) -> Option<FlowEntry> {
+        let oldest_secs = now.saturating_sub(max_age).as_secs() as u32;
+        let is_recent = |entry: &&FlowEntry| {
+            entry.upstream != EMPTY_UPSTREAM
+                && entry.fingerprint == fingerprint
+                && entry.last_seen_secs >= oldest_secs
+        };
+        self.sets[fingerprint as usize & (self.sets.len() - 1)].iter().find(is_recent).copied()
+    }
+
     /// Stores a flow, replacing its earlier entry.
     pub fn insert(
         &mut self,
--- a/crates/mustardgrade-core/src/flow/tests.rs
+++ b/crates/mustardgrade-core/src/flow/tests.rs
@@ -392,3 +392,22 @@
     assert_eq!(kept.count(), before);
     assert_eq!(size_of::<FlowEntry>(), 16);
 }
+
+#[test]
+fn late_copy_of_an_opening_does_not_move_an_open_flow() {
+    let mut routers = routers(BucketPlacement::steady(0));
+    for at in [0, 1] {
+        route_to_end(&mut routers, at, packet(1, true));
+        route_to_end(&mut routers, at, packet(1, false));
+    }
+    for router in &mut routers {
+        router.install(snapshot(collecting_placement(), 2));
+    }
+    let late_copy = route_to_end(&mut routers, 0, packet(1, true));
+    deliver_updates(&mut routers);
+    let open_flow = [0, 1].map(|at| route_to_end(&mut routers, at, packet(1, false)));
+    assert!(
+        open_flow.iter().all(|path| path.ends_with("upstream 0")),
+        "{late_copy}; {open_flow:?}"
+    );
+}
