A flow that uses the port of a dropped one is not reset

What callers would see: a reset of an open flow whose route a later manifest has added again, from a host that still follows the manifest without it. Cause: a flow counted as observed if the table had any entry of its addresses, also that of an earlier flow from the same port, which stays until the idle timeout. Evidence: later_flow_from_the_port_of_a_dropped_one_is_not_reset failed before and passes now. Mend: the entry must include the packet by sequence number, as for late openings; else the packet is dropped.

--- a/crates/mustardgrade-core/src/cookie/observed_flows.rs
+++ b/crates/mustardgrade-core/src/cookie/observed_flows.rs
@@ -106,6 +106,13 @@
         self.next_sequence.wrapping_sub(first_sequence) < MAX_SEQUENCE_ADVANCE
     }
 
+    /// Returns whether a packet is part of this flow, by the sequence numbers of both.
+    #[must_use]
+    pub(super) fn includes(&self, packet: &FlowPacket) -> bool {
+        let distance = packet.sequence.wrapping_sub(self.next_sequence) as i32;
+        distance.unsigned_abs() < MAX_SEQUENCE_ADVANCE
+    }
+
     /// Returns whether a packet is the caller's acknowledgement of this flow's opening, by which it
     /// accepts the upstream of the cookie. Later packets may carry that of another upstream.
     #[must_use]
--- a/crates/mustardgrade-core/src/cookie/router.rs
+++ b/crates/mustardgrade-core/src/cookie/router.rs
@@ -18,7 +18,7 @@
 use super::snapshot::CookieSnapshot;
 use super::tracker::{FailureDetectionOptions, UpstreamTracker, carry_over_trackers};
 use super::utilisation::LoadEstimator;
-use crate::flow::FlowKey;
+use crate::flow::{FlowKey, FlowPacket};
 
 /// Interval at which idle flows are removed from the flow table.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
@@ -284,7 +284,7 @@
     ) -> CookieVerdict {
         let segment = &packet.segment;
         let Some(route) = snapshot.routes.get(&segment.key.service) else {
-            return match self.has_lost_route(snapshot, &segment.key) {
+            return match self.has_lost_route(snapshot, segment) {
                 true => CookieVerdict::Reset(ResetCause::RouteDropped),
                 false => CookieVerdict::Drop(CookieDropCause::UnknownRoute),
             };
@@ -307,9 +307,12 @@
     /// Returns whether a manifest has dropped the route of a flow that was open before.
     ///
     /// Other hosts may follow a newer manifest that has the route again; what they have opened by
-    /// it is unknown here. A flow that this host has observed passed it while it had the route.
-    fn has_lost_route(&self, snapshot: &CookieSnapshot, key: &FlowKey) -> bool {
-        snapshot.dropped_routes.contains(&key.service) && self.flows.get(key).is_some()
+    /// it is unknown here. A flow that this host has observed passed it while it had the route; a
+    /// later one from the same address is told apart by its sequence numbers.
+    fn has_lost_route(&self, snapshot: &CookieSnapshot, segment: &FlowPacket) -> bool {
+        let observed = self.flows.get(&segment.key);
+        snapshot.dropped_routes.contains(&segment.key.service)
+            && observed.is_some_and(|flow| flow.includes(segment))
     }
 
     pub(super) fn remove_flow(&mut self, key: &FlowKey) -> Option<ObservedFlow> {
--- a/crates/mustardgrade-core/src/cookie/tests/misrouting.rs
+++ b/crates/mustardgrade-core/src/cookie/tests/misrouting.rs
@@ -157,6 +157,25 @@
     assert_eq!(unseen_verdict, CookieVerdict::Drop(CookieDropCause::UnknownRoute));
 }
 
+/// Guards against a reset, by a host behind by a manifest, of a flow that uses an earlier one's port.
+#[test]
+fn later_flow_from_the_port_of_a_dropped_one_is_not_reset() {
+    let mut registry = TestRegistry::new();
+    registry.add_upstreams("desk", "a", 1..3);
+    let mut router = registry.router();
+    let key = flow_key(1, DESK_ROUTE);
+    let packet = |sequence| established_packet(key, cookie_of_upstream_1(), sequence, 7, 10);
+    routed_tag(&mut router, &packet(101), ms(10));
+    registry.set_manifest(&[]);
+    registry.context.dropped_routes.insert(DESK_ROUTE);
+    registry.install_into(&mut router);
+    // Another host follows the manifest that has the route again, and has opened the later flow.
+    let later_verdict = router.route(&packet(0x7000_0000), ms(20));
+    assert_eq!(later_verdict, CookieVerdict::Drop(CookieDropCause::UnknownRoute));
+    let earlier_verdict = router.route(&packet(111), ms(30));
+    assert_eq!(earlier_verdict, CookieVerdict::Reset(ResetCause::RouteDropped));
+}
+
 #[test]
 fn open_flows_stay_with_the_previous_service_of_their_route() {
     let mut registry = TestRegistry::new();
