An idle host sheds no openings

Callers saw: of several openings that reach a host at the end of its rest, all but the first go unanswered and are sent again 200 ms later, though the host has nothing to do. Cause: an opening's wait counts from the time when the socket was last known to be empty. An idle host waits in its socket for up to 100 ms, as long as an opening may wait, and took this rest for the openings' wait.

--- a/crates/mustardgrade-node/src/cookie_host/mod.rs
+++ b/crates/mustardgrade-node/src/cookie_host/mod.rs
@@ -26,3 +26,5 @@
 
 #[cfg(test)]
 mod tests;
+#[cfg(test)]
+mod traffic_tests;
--- /dev/null
+++ b/crates/mustardgrade-node/src/cookie_host/traffic_tests.rs
@@ -0,0 +1,172 @@
+//! Tests of the traffic thread, with a codec that takes its time in place of a slow host.
+
+use std::net::{SocketAddrV4, UdpSocket};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::thread::{JoinHandle, sleep};
+use std::time::Duration;
+
+use mustardgrade_core::cookie::{
+    CookieOptions, CookiePacket, FlowCookie, SnapshotContext, build_cookie_snapshot,
+};
+use mustardgrade_core::flow::{FlowKey, FlowPacket, SegmentFlags};
+use mustardgrade_core::identity::{DataCentreId, ServiceId};
+use mustardgrade_core::registry::{
+    Manifest, RegisteredState, RegistryChange, RegistryKey, RegistryTable, RegistryValue,
+    RetryPolicy, RouteBackend, RouteConfig, ServiceConfig, StorePosition, UpstreamRegistration,
+};
+
+use super::adapters::{PacketCodec, PacketError, UpstreamTarget};
+use super::traffic_thread::{SharedState, spawn_traffic_thread};
+use crate::clock::UnixClock;
+use crate::metrics::HostMetrics;
+
+/// Time after which what was sent has reached the upstream, and the host has been idle.
+const SETTLING_TIME: Duration = Duration::from_millis(150);
+
+/// `SlowCodec` decodes openings of the form `[caller, milliseconds to decode it]`.
+struct SlowCodec;
+
+impl PacketCodec for SlowCodec {
+    fn decode(&self, datagram: &[u8]) -> std::result::Result<CookiePacket, PacketError> {
+        let [caller, delay_ms] = datagram else { return Err(PacketError::Truncated) };
+        sleep(Duration::from_millis(u64::from(*delay_ms)));
+        let key = FlowKey {
+            caller: SocketAddrV4::new([100, 64, 0, *caller].into(), 40_000),
+            service: route_address(),
+        };
+        let segment = FlowPacket {
+            key,
+            flags: SegmentFlags { syn: true, ..SegmentFlags::default() },
+            sequence: 100,
+            acknowledgement: 0,
+            payload_length: 0,
+        };
+        Ok(CookiePacket { segment, cookie: FlowCookie::NONE })
+    }
+
+    fn encode_forward(&self, datagram: &[u8], _target: &UpstreamTarget, output: &mut Vec<u8>) {
+        output.extend_from_slice(datagram);
+    }
+
+    fn encode_reset(&self, packet: &CookiePacket, _output: &mut Vec<u8>) -> SocketAddrV4 {
+        panic!("reset of {packet:?}");
+    }
+}
+
+fn route_address() -> SocketAddrV4 {
+    SocketAddrV4::new([198, 18, 0, 1].into(), 443)
+}
+
+fn registry_with_upstream(address: SocketAddrV4) -> RegistryTable {
+    let service = ServiceId::from_name("desk");
+    let route = RouteConfig {
+        name: "desk".to_owned(),
+        address: route_address(),
+        backends: vec![RouteBackend { service, weight: 1 }],
+        retry_policy: RetryPolicy::Idempotent,
+        request_timeout: Duration::from_millis(2_500),
+        latency_objective: Duration::from_millis(250),
+        priority: 0,
+    };
+    let config = ServiceConfig {
+        name: "desk".to_owned(),
+        max_connections: 4_000,
+        cold_start_duration: Duration::ZERO,
+        max_cold_requests_per_sec: 0.0,
+    };
+    let manifest = Manifest {
+        version: 1,
+        routes: vec![route],
+        services: vec![config],
+        idle_timeout: Duration::from_secs(15),
+    };
+    let registration = UpstreamRegistration {
+        name: "i-1".to_owned(),
+        tag: 1,
+        incarnation: 1,
+        service,
+        address,
+        data_centre: DataCentreId::from_name("a"),
+        slots: 1_000,
+        state: RegisteredState::Ready,
+        cold_remaining: Duration::ZERO,
+    };
+    let values = [
+        (RegistryKey::Manifest, RegistryValue::Manifest(Arc::new(manifest))),
+        (RegistryKey::Upstream("i-1".to_owned()), RegistryValue::Upstream(Arc::new(registration))),
+    ];
+    let mut registry = RegistryTable::default();
+    for (revision, (key, value)) in (1..).zip(values) {
+        let position = StorePosition { epoch: 1, revision };
+        registry
+            .apply(RegistryChange { key, position, value, age: Duration::ZERO }, Duration::ZERO);
+    }
+    registry
+}
+
+/// `TestLane` is a running traffic thread with one caller and one upstream.
+struct TestLane {
+    caller: UdpSocket,
+    upstream: UdpSocket,
+    shared: Arc<SharedState>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl TestLane {
+    fn start() -> Self {
+        let bind = || UdpSocket::bind("127.0.0.1:0").expect("socket is bound");
+        let (caller, upstream, ingress) = (bind(), bind(), bind());
+        caller.connect(ingress.local_addr().expect("bound address")).expect("caller connects");
+        upstream.set_nonblocking(true).expect("socket does not block");
+        let address = upstream.local_addr().expect("bound address").to_string();
+        let registry = registry_with_upstream(address.parse().expect("an IPv4 address"));
+        let context = SnapshotContext {
+            data_centre: Some(DataCentreId::from_name("a")),
+            fleet_hosts: 1,
+            local_hosts: 1,
+            ..SnapshotContext::default()
+        };
+        let shared = Arc::new(SharedState::default());
+        shared.snapshot.store(Arc::new(build_cookie_snapshot(&registry, &context)));
+        let thread = spawn_traffic_thread(
+            ingress,
+            Box::new(SlowCodec),
+            CookieOptions::default(),
+            Arc::clone(&shared),
+            HostMetrics::new(1),
+            UnixClock::new(),
+        );
+        Self { caller, upstream, shared, thread: Some(thread.expect("thread starts")) }
+    }
+
+    fn send_opening(&self, caller: u8, decode_ms: u8) {
+        self.caller.send(&[caller, decode_ms]).expect("opening is sent");
+    }
+
+    /// Returns the callers whose openings have reached the upstream since the last call.
+    fn forwarded_callers(&self) -> Vec<u8> {
+        let mut buffer = [0; 2];
+        std::iter::from_fn(|| self.upstream.recv(&mut buffer).ok().map(|_| buffer[0])).collect()
+    }
+}
+
+impl Drop for TestLane {
+    fn drop(&mut self) {
+        self.shared.stop_requested.store(true, Ordering::Relaxed);
+        let _joined = self.thread.take().map(JoinHandle::join);
+    }
+}
+
+/// Guards against openings that an idle host sheds, since it has not looked at its socket for long.
+#[test]
+fn openings_that_end_the_rest_of_an_idle_host_are_not_shed() {
+    let lane = TestLane::start();
+    for step in 0..15 {
+        sleep(SETTLING_TIME + Duration::from_millis(7 * step));
+        lane.send_opening(1, 5);
+        lane.send_opening(2, 5);
+        sleep(Duration::from_millis(50));
+        assert_eq!(lane.forwarded_callers(), [1, 2], "step {step}");
+    }
+}
