The first packet after a stall goes through the backlog

Callers saw: an opening that had waited in a stalled host's socket for longer than 100 ms was still forwarded, if it was the next one that the host read; after 1.4 s its caller has given up, and the upstream holds a flow of nobody's. All openings after it were shed. Cause: only packets that are read ahead were asked how long they may have waited. Mend: a packet that may have waited for longer than 20 ms goes to the backlog, which routes packets of open flows first and sheds openings, and keeps for each packet the time after which it came.

--- a/crates/mustardgrade-node/src/cookie_host/traffic_tests.rs
+++ b/crates/mustardgrade-node/src/cookie_host/traffic_tests.rs
@@ -158,6 +158,21 @@
     }
 }
 
+/// Guards against openings that are forwarded after a stall, when their callers have moved on.
+#[test]
+fn opening_that_waited_while_its_host_stalled_is_shed() {
+    let lane = TestLane::start();
+    sleep(SETTLING_TIME);
+    lane.send_opening(1, 0);
+    sleep(Duration::from_millis(2));
+    lane.send_opening(2, 250);
+    sleep(Duration::from_millis(2));
+    lane.send_opening(3, 0);
+    sleep(Duration::from_millis(250) + SETTLING_TIME);
+    let forwarded = lane.forwarded_callers();
+    assert!(forwarded.contains(&1) && !forwarded.contains(&3), "{forwarded:?}");
+}
+
 /// Guards against openings that an idle host sheds, since it has not looked at its socket for long.
 #[test]
 fn openings_that_end_the_rest_of_an_idle_host_are_not_shed() {
--- a/crates/mustardgrade-node/src/cookie_host/traffic_thread.rs
+++ b/crates/mustardgrade-node/src/cookie_host/traffic_thread.rs
@@ -140,12 +140,17 @@
                 Err(error) => self.count_receive_error(&error),
             }
             self.publish_results(now);
-            if now.saturating_sub(self.socket_empty_at) > READ_AHEAD_INTERVAL {
+            if self.reads_ahead(now) {
                 self.route_backlog(&mut buffer);
             }
         }
     }
 
+    /// Returns whether a packet received at `now` may have waited, so that it goes to the backlog.
+    fn reads_ahead(&self, now: Duration) -> bool {
+        now.saturating_sub(self.socket_empty_at) > READ_AHEAD_INTERVAL
+    }
+
     /// Reads packets ahead and routes them by urgency until none waits.
     fn route_backlog(&mut self, buffer: &mut [u8]) {
         loop {
@@ -262,6 +267,9 @@
 
     fn handle_datagram(&mut self, datagram: &[u8], now: Duration) {
         self.shared.last_packet_ms.store(now.as_millis() as u64, Ordering::Relaxed);
+        if self.reads_ahead(now) {
+            return self.push_waiting(datagram, self.socket_empty_at);
+        }
         let Some(packet) = self.decode(datagram) else { return };
         let verdict = self.router.route(&packet, now);
         self.perform_verdict(verdict, &packet, datagram);
