--- a/crates/mustardgrade-node/src/cookie_host/traffic_thread.rs
+++ b/crates/mustardgrade-node/src/cookie_host/traffic_thread.rs
@@ -29,9 +29,10 @@
 /// Read timeout while openings or requests await an answer, so that timeouts are processed in time.
 const PENDING_READ_TIMEOUT: Duration = Duration::from_millis(40);
 
-/// Read timeout otherwise; also the maximum delay until a stop takes effect. It is shorter than the
-/// time without a call after which the router takes the host for stalled.
-const IDLE_READ_TIMEOUT: Duration = Duration::from_millis(100);
+/// Read timeout otherwise; also the maximum delay until a stop takes effect. A packet may have come
+/// at any time during the wait, so the timeout is well below the time after which openings are shed,
+/// and the time without a call after which the router takes the host for stalled.
+const IDLE_READ_TIMEOUT: Duration = Duration::from_millis(50);
 
 /// Time without an empty socket after which packets are read ahead of routing, so that their waiting
 /// times are known and the urgent ones go first.
@@ -142,12 +143,17 @@
                 Err(error) => self.count_receive_error(&error),
             }
             self.publish_results(now);
-            if now.saturating_sub(self.socket_empty_at) > READ_AHEAD_INTERVAL {
+            if self.reads_ahead(now) {
                 self.route_backlog(&mut buffer);
             }
         }
     }
 
+    /// Returns whether a packet received at `now` may have waited, so that it goes to the backlog.
+    fn reads_ahead(&self, now: Duration) -> bool {
+        now.saturating_sub(self.socket_empty_at) > READ_AHEAD_INTERVAL
+    }
+
     /// Reads packets ahead and routes them by urgency until none waits.
     fn route_backlog(&mut self, buffer: &mut [u8]) {
         loop {
@@ -287,6 +293,9 @@
 
     fn handle_datagram(&mut self, datagram: &[u8], now: Duration) {
         self.shared.last_packet_ms.store(now.as_millis() as u64, Ordering::Relaxed);
+        if self.reads_ahead(now) {
+            return self.push_waiting(datagram, self.socket_empty_at);
+        }
         let Some(packet) = self.decode(datagram) else { return };
         let verdict = self.router.route(&packet, now);
         self.perform_verdict(verdict, &packet, datagram);
