Requests: retransmissions no longer postpone a caller's final reply

Host 11 was cut off from host 4 and had the request as pending since 42.95 s, to be answered 0.4 s after its deadline (44.93 s). Retransmissions at 44.94, 45.34 and 45.74 s each set that deadline anew; it replied at 46.14 s, the caller gave up at 45.93 s. A try without a ticket and without time left is now refused. "Not run" is true of it: a message without a ticket never runs, and the reply carries its message id.

Tests: three in request/tests.rs; all three fail without the change to origin.rs and pass with it. Not run: the full test suite.

--- a/crates/mustardgrade-core/src/request/origin.rs
+++ b/crates/mustardgrade-core/src/request/origin.rs
@@ -115,7 +115,8 @@
         order
     }
 
-    /// Replies to a non-idempotent request without a ticket with a challenge that carries one.
+    /// Replies to a non-idempotent request without a ticket with a challenge that carries one, or
+    /// refuses it if its deadline has passed.
     pub(super) fn issue_ticket(
         &mut self,
         service: &RequestService,
@@ -123,6 +124,11 @@
         now: Duration,
         outputs: &mut Vec<RequestOutput>,
     ) {
+        if request.timeout.is_zero() {
+            // A challenge is no final reply, and its ticket could not be used in time.
+            let reply = self.refusal_reply(request);
+            return self.reply_to_caller(request, reply, outputs);
+        }
         let Some(upstream) = self.pick_candidates(service, &request.id, &[], now).first().copied()
         else {
             let reply = self.refusal_reply(request);
@@ -175,21 +181,40 @@
             return self.accept_forwarded(forwarded, now, outputs);
         }
         let Some(address) = self.snapshot.host_address(dispatcher.host) else {
-            return;
+            return self.handle_unreachable_dispatcher(&forwarded.request, outputs);
         };
         let message = RequestPeerMessage::Forward(forwarded);
         outputs.push(RequestOutput::SendToPeer { peer: dispatcher, address, message });
     }
 
+    /// Replies that the outcome is unknown if the caller's deadline has passed. Before it, a
+    /// retransmission may reach the dispatcher by way of another host.
+    fn handle_unreachable_dispatcher(
+        &mut self,
+        request: &CallerRequest,
+        outputs: &mut Vec<RequestOutput>,
+    ) {
+        if !request.timeout.is_zero() {
+            return;
+        }
+        self.pending_requests.remove(&request.id);
+        self.counters.unknown_outcomes += 1;
+        self.reply_to_caller(request, CallerReply::OutcomeUnknown, outputs);
+    }
+
+    /// Tracks a request until its dispatcher reports; a retransmission does not extend its deadline.
     pub(super) fn track_pending(
         &mut self,
         forwarded: &ForwardedRequest,
         candidates: &[UpstreamId],
         now: Duration,
     ) {
-        let deadline = now + forwarded.request.timeout;
         let forwarded = forwarded.clone();
         let id = forwarded.request.id.clone();
+        let stated_deadline = now + forwarded.request.timeout;
+        let tracked = self.pending_requests.get(&id);
+        let deadline =
+            tracked.map_or(stated_deadline, |pending| pending.deadline.min(stated_deadline));
         let dispatchers =
             candidates.iter().filter_map(|upstream| self.snapshot.upstream(*upstream));
         let dispatchers = dispatchers.map(|upstream| upstream.dispatcher).collect();
--- a/crates/mustardgrade-core/src/request/tests.rs
+++ b/crates/mustardgrade-core/src/request/tests.rs
@@ -292,3 +292,51 @@
     };
     assert_eq!([3, 4].map(|seconds| summarize(&tick_after(seconds))), ["", "cancel, unknown"]);
 }
+
+/// Returns a ticket that names host 1, and host 2, which forwards requests to host 1.
+fn ticket_and_origin() -> (Vec<u8>, RequestRouter) {
+    let mut dispatcher = router_for_run(1, 1);
+    dispatcher.install(snapshot_with_dispatcher_run(1));
+    let mut origin = router_for_run(2, 1);
+    origin.install(snapshot_with_dispatcher_run(1));
+    (obtain_ticket(&mut dispatcher), origin)
+}
+
+#[test]
+fn retransmissions_do_not_postpone_the_reply_of_an_origin_without_word_from_the_dispatcher() {
+    let (ticket, mut origin) = ticket_and_origin();
+    let transmit = |origin: &mut RequestRouter, elapsed_ms: u64| {
+        let timeout = Duration::from_millis(2_000_u64.saturating_sub(elapsed_ms));
+        let request = CallerRequest { timeout, ..post_request(2, Some(ticket.clone())) };
+        handle_at(origin, RequestInput::Caller(request), Duration::from_millis(elapsed_ms))
+    };
+    for elapsed_ms in [10, 2_010, 2_210, 2_390] {
+        assert!(summarize(&transmit(&mut origin, elapsed_ms)).starts_with("send to"));
+    }
+    let at_tick = handle_at(&mut origin, RequestInput::Tick, Duration::from_millis(2_400));
+    assert_eq!(summarize(&at_tick), "unknown");
+}
+
+#[test]
+fn caller_past_its_deadline_gets_a_final_reply_at_once_if_the_dispatcher_cannot_be_reached() {
+    let (ticket, mut origin) = ticket_and_origin();
+    let mut snapshot = RequestSnapshot::clone(&snapshot_with_dispatcher_run(1));
+    snapshot.live_hosts.remove(&HostId(1));
+    origin.install(Arc::new(snapshot));
+    let mut transmit = |timeout, elapsed| {
+        let request = CallerRequest { timeout, ..post_request(2, Some(ticket.clone())) };
+        summarize(&handle_at(&mut origin, RequestInput::Caller(request), elapsed))
+    };
+    let in_time = transmit(Duration::from_secs(2), Duration::ZERO);
+    let after_deadline = transmit(Duration::ZERO, Duration::from_secs(2));
+    assert_eq!([in_time.as_str(), after_deadline.as_str()], ["", "unknown"]);
+}
+
+#[test]
+fn caller_past_its_deadline_gets_no_challenge_but_a_final_reply() {
+    let mut origin = router_for_run(1, 1);
+    origin.install(snapshot_with_dispatcher_run(1));
+    let request = CallerRequest { timeout: Duration::ZERO, ..post_request(1, None) };
+    let outputs = handle_at(&mut origin, RequestInput::Caller(request), Duration::ZERO);
+    assert_eq!(summarize(&outputs), "not run");
+}
