--- a/crates/mustardgrade-core/src/cookie/tests/evidence.rs
+++ b/crates/mustardgrade-core/src/cookie/tests/evidence.rs
@@ -297,7 +297,7 @@
 }
 
 #[test]
-fn request_that_its_caller_gave_up_is_withdrawn() {
+fn requests_that_their_callers_gave_up_reset_no_other_flow() {
     let mut router = router_with_two_upstreams();
     leave_requests_unanswered(&mut router, &[1, 2, 3, 4], DESK_ROUTE);
     for caller in [1, 2, 3, 4] {
