--- a/crates/mustardgrade-node/src/cookie_host/mod.rs
+++ b/crates/mustardgrade-node/src/cookie_host/mod.rs
@@ -26,5 +26,3 @@
 
 #[cfg(test)]
 mod tests;
-#[cfg(test)]
-mod traffic_tests;
--- a/crates/mustardgrade-node/src/cookie_host/tests.rs
+++ b/crates/mustardgrade-node/src/cookie_host/tests/admin_pages.rs
@@ -10,7 +10,7 @@
     RetryPolicy, RouteBackend, RouteConfig, StorePosition, UpstreamRegistration,
 };
 
-use super::render_rules_page;
+use crate::cookie_host::render_rules_page;
 
 #[test]
 fn rules_page_lists_entries_with_origin_and_revision() {
--- /dev/null
+++ b/crates/mustardgrade-node/src/cookie_host/tests/mod.rs
@@ -0,0 +1,4 @@
+//! Tests of hosts that route flows by cookie.
+
+mod admin_pages;
+mod traffic_thread;
--- a/crates/mustardgrade-node/src/cookie_host/traffic_tests.rs
+++ b/crates/mustardgrade-node/src/cookie_host/tests/traffic_thread.rs
@@ -17,9 +17,9 @@
     RetryPolicy, RouteBackend, RouteConfig, ServiceConfig, StorePosition, UpstreamRegistration,
 };
 
-use super::adapters::{PacketCodec, PacketError, UpstreamTarget};
-use super::traffic_thread::{IDLE_READ_TIMEOUT, SharedState, spawn_traffic_thread};
 use crate::clock::UnixClock;
+use crate::cookie_host::adapters::{PacketCodec, PacketError, UpstreamTarget};
+use crate::cookie_host::traffic_thread::{IDLE_READ_TIMEOUT, SharedState, spawn_traffic_thread};
 use crate::metrics::HostMetrics;
 
 /// Time after which what was sent has reached the upstream, and the host has been idle.
--- a/crates/mustardgrade-node/src/cookie_host/traffic_thread.rs
+++ b/crates/mustardgrade-node/src/cookie_host/traffic_thread.rs
@@ -143,14 +143,15 @@
                 Err(error) => self.count_receive_error(&error),
             }
             self.publish_results(now);
-            if self.reads_ahead(now) {
+            if self.may_have_waited(now) {
                 self.route_backlog(&mut buffer);
             }
         }
     }
 
-    /// Returns whether a packet received at `now` may have waited, so that it goes to the backlog.
-    fn reads_ahead(&self, now: Duration) -> bool {
+    /// Returns whether a packet received at `now` may have waited in the socket; it then goes to the
+    /// backlog.
+    fn may_have_waited(&self, now: Duration) -> bool {
         now.saturating_sub(self.socket_empty_at) > READ_AHEAD_INTERVAL
     }
 
@@ -293,7 +294,7 @@
 
     fn handle_datagram(&mut self, datagram: &[u8], now: Duration) {
         self.shared.last_packet_ms.store(now.as_millis() as u64, Ordering::Relaxed);
-        if self.reads_ahead(now) {
+        if self.may_have_waited(now) {
             return self.push_waiting(datagram, self.socket_empty_at);
         }
         let Some(packet) = self.decode(datagram) else { return };
