--- a/crates/mustardgrade-core/src/cookie/tests/misrouting.rs
+++ b/crates/mustardgrade-core/src/cookie/tests/misrouting.rs
@@ -152,6 +152,9 @@
     let expected = FlowEvent::Reset { key, cookie, cause: ResetCause::RouteDropped };
     let resets = events.iter().filter(|event| matches!(event, FlowEvent::Reset { .. }));
     assert_eq!(resets.collect::<Vec<_>>(), [&expected]);
+    // Guards against a host behind by a manifest that resets what others have opened since.
+    let unseen_verdict = router.route(&packet(2), ms(20));
+    assert_eq!(unseen_verdict, CookieVerdict::Drop(CookieDropCause::UnknownRoute));
 }
 
 /// Guards against a reset, by a host behind by a manifest, of a flow that uses an earlier one's port.
