--- a/review/standin-2/src/early_hangup.rs
+++ b/review/standin-2/src/early_hangup.rs
@@ -38,11 +38,11 @@
     unsafe { kill(process as i32, number) };
 }
 
-pub fn run(folder: &Path, has_trouble: bool) -> CaseResult {
+pub fn run(record_path: &Path, has_trouble: bool) -> CaseResult {
     let work = Duration::from_millis(55);
     let endpoints = [EndpointSpec("desk", "z-1", 4_333, work)];
     let deployment =
-        Deployment::start(folder, &["z-1", "z-1", "z-1"], &endpoints, Box::new(|_, _| false))?;
+        Deployment::start(record_path, &["z-1", "z-1", "z-1"], &endpoints, Box::new(|_, _| false))?;
     deployment.wait_ready()?;
     std::thread::sleep(Duration::from_millis(STABILITY_WINDOW_MS as u64));
     let record = deployment.world.record.clone();
--- a/review/standin-2/src/evacuated.rs
+++ b/review/standin-2/src/evacuated.rs
@@ -22,12 +22,12 @@
 /// Time between the bound and the openings that are judged.
 const MARGIN_MS: f64 = 500.0;
 
-pub fn run(folder: &Path, has_trouble: bool) -> CaseResult {
+pub fn run(record_path: &Path, has_trouble: bool) -> CaseResult {
     let work = Duration::from_millis(55);
     // The service of the route lives in one zone; requesters reach it through hosts of the other.
     let endpoints = [EndpointSpec("desk", "z-2", LONG_PORTS.len(), work)];
     let deployment =
-        Deployment::start(folder, &["z-1", "z-1", "z-2"], &endpoints, Box::new(|_, _| false))?;
+        Deployment::start(record_path, &["z-1", "z-1", "z-2"], &endpoints, Box::new(|_, _| false))?;
     deployment.wait_ready()?;
     std::thread::sleep(Duration::from_millis(STABILITY_WINDOW_MS as u64));
     let record = deployment.world.record.clone();
--- a/review/standin-2/src/lost_answer.rs
+++ b/review/standin-2/src/lost_answer.rs
@@ -21,7 +21,7 @@
 const TIME_BUDGET: Duration = Duration::from_millis(2_500);
 const FIRST_PORT: u16 = 41_000;
 
-pub fn run(folder: &Path, has_trouble: bool) -> CaseResult {
+pub fn run(record_path: &Path, has_trouble: bool) -> CaseResult {
     let lost: Mutex<HashSet<u16>> = Mutex::default();
     let loss = move |_: &str, packet: &crate::packet::Packet| {
         let number = packet.dst.port().wrapping_sub(FIRST_PORT);
@@ -34,7 +34,7 @@
     let endpoints =
         [EndpointSpec("desk", "z-1", 4_333, work), EndpointSpec("desk", "z-2", 4_333, work)];
     let deployment =
-        Deployment::start(folder, &["z-1", "z-1", "z-2"], &endpoints, Box::new(loss))?;
+        Deployment::start(record_path, &["z-1", "z-1", "z-2"], &endpoints, Box::new(loss))?;
     deployment.wait_ready()?;
     // Hosts count as in touch once they have run for the stability window.
     std::thread::sleep(Duration::from_millis(STABILITY_WINDOW_MS as u64));
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -1,4 +1,6 @@
-//! Stand-ins and scripts of the review's cases: `review-standin-2 CASE FOLDER`.
+//! Stand-ins and scripts of the review's cases: `review-standin-2 CASE TROUBLE RECORD`.
+//!
+//! TROUBLE is 0 for a run without the disruption, and RECORD the file that the run writes.
 //!
 //! Exit codes: 0 if the rule held, 1 if it was broken, 2 if the case could not run.
 
@@ -28,12 +30,12 @@
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
-    let (Some(case), Some(folder)) = (arguments.get(1), arguments.get(2)) else {
-        eprintln!("usage: review-standin-2 CASE FOLDER");
+    let [_, case, trouble, record] = arguments.as_slice() else {
+        eprintln!("usage: review-standin-2 CASE TROUBLE RECORD");
         return ExitCode::from(2);
     };
-    let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
-    let folder = PathBuf::from(folder);
+    let has_trouble = trouble != "0";
+    let record = PathBuf::from(record);
     // Hosts end with this process.
     std::thread::spawn(|| {
         std::thread::sleep(TIME_LIMIT);
@@ -41,11 +43,11 @@
         std::process::exit(2);
     });
     let result = match case.as_str() {
-        "lost-answer" => lost_answer::run(&folder, has_trouble),
-        "reused-port" => reused_port::run(&folder, has_trouble),
-        "early-hangup" => early_hangup::run(&folder, has_trouble),
-        "evacuated" => evacuated::run(&folder, has_trouble),
-        "other-writer" => other_writer::run(&folder, has_trouble),
+        "lost-answer" => lost_answer::run(&record, has_trouble),
+        "reused-port" => reused_port::run(&record, has_trouble),
+        "early-hangup" => early_hangup::run(&record, has_trouble),
+        "evacuated" => evacuated::run(&record, has_trouble),
+        "other-writer" => other_writer::run(&record, has_trouble),
         _ => Err(format!("no case '{case}'").into()),
     };
     match result {
--- a/review/standin-2/src/other_writer.rs
+++ b/review/standin-2/src/other_writer.rs
@@ -14,12 +14,12 @@
 const TIME_BUDGET: Duration = Duration::from_millis(2_500);
 const FIRST_PORT: u16 = 44_000;
 
-pub fn run(folder: &Path, has_trouble: bool) -> CaseResult {
+pub fn run(record_path: &Path, has_trouble: bool) -> CaseResult {
     let work = Duration::from_millis(55);
     let endpoints =
         [EndpointSpec("desk", "z-1", 4_333, work), EndpointSpec("desk", "z-2", 4_333, work)];
     let deployment =
-        Deployment::start(folder, &["z-1", "z-1", "z-2"], &endpoints, Box::new(|_, _| false))?;
+        Deployment::start(record_path, &["z-1", "z-1", "z-2"], &endpoints, Box::new(|_, _| false))?;
     deployment.wait_ready()?;
     let record = deployment.world.record.clone();
     if has_trouble {
--- a/review/standin-2/src/reused_port.rs
+++ b/review/standin-2/src/reused_port.rs
@@ -41,14 +41,14 @@
 /// Time between the bound and the openings that are judged.
 const MARGIN_MS: f64 = 500.0;
 
-pub fn run(folder: &Path, has_trouble: bool) -> CaseResult {
+pub fn run(record_path: &Path, has_trouble: bool) -> CaseResult {
     let work = Duration::from_millis(55);
     let endpoints = [
         EndpointSpec("desk", "z-1", usize::from(LONG_FLOWS), work),
         EndpointSpec("archive", "z-1", 4_500, work),
     ];
     let deployment =
-        Deployment::start(folder, &["z-1", "z-1"], &endpoints, Box::new(|_, _| false))?;
+        Deployment::start(record_path, &["z-1", "z-1"], &endpoints, Box::new(|_, _| false))?;
     deployment.wait_ready()?;
     std::thread::sleep(Duration::from_millis(STABILITY_WINDOW_MS as u64));
     let record = deployment.world.record.clone();
--- a/review/standin-2/src/setup.rs
+++ b/review/standin-2/src/setup.rs
@@ -60,7 +60,7 @@
 impl Deployment {
     /// Starts everything; `hosts` names the zone of each host. Requesters are in the first zone.
     pub fn start(
-        case_folder: &Path,
+        record_path: &Path,
         hosts: &[&str],
         endpoints: &[EndpointSpec],
         loss: LossRule,
@@ -79,7 +79,7 @@
         let mut addresses: Vec<Ipv4Addr> = specs.iter().map(|spec| spec.ip).collect();
         addresses.push(ip(9, 0));
         let ports = find_ports(&addresses).ok_or("no free ports")?;
-        let record = Record::create(&case_folder.join("record.txt"))?;
+        let record = Record::create(record_path)?;
         let world = World::new(record, ports.packets, loss);
         for spec in &specs {
             world.zones.lock().unwrap().insert(spec.ip, spec.zone.clone());
