Registrations of services that no manifest has named say nothing of other upstreams

Cause: an upstream at whose address a newer registration stands gets no new flows. The registry took every entry that can be decoded for a registration, whatever its service; it was never used, but it was believed.

Change: the registry keeps which services manifests have named (NamedServices), and a registration is in force only if its service is among them.

Why it works: an entry that is not in force makes no view, so nothing that compares views can see it.

--- a/crates/mustardgrade-core/src/cookie/ended_runs/registry.rs
+++ b/crates/mustardgrade-core/src/cookie/ended_runs/registry.rs
@@ -4,11 +4,10 @@
 
 use super::proof::EndedUpstream;
 use crate::cookie::flow_cookie::FlowCookie;
-use crate::cookie::snapshot::{CookieRoute, UpstreamView};
+use crate::cookie::snapshot::CookieRoute;
+use crate::cookie::upstream_view::UpstreamView;
 use crate::identity::ServiceId;
-use crate::registry::{
-    RegistryKey, RegistryTable, RegistryValue, UpstreamRegistration, UpstreamRun,
-};
+use crate::registry::{RegistryKey, RegistryTable, UpstreamRegistration, UpstreamRun};
 
 /// Returns the upstreams whose runs have provably ended, without those whose cookie another run has
 /// too: its flows could not be told apart.
@@ -48,7 +47,7 @@
     let services: HashSet<ServiceId> = split.flat_map(CookieRoute::weighted_services).collect();
     let mut former = HashMap::new();
     for (key, entry) in registry.entries() {
-        let (RegistryKey::Upstream(name), RegistryValue::Upstream(present)) = (key, &entry.value)
+        let (RegistryKey::Upstream(name), Some(present)) = (key, registry.registration(entry))
         else {
             continue;
         };
--- a/crates/mustardgrade-core/src/cookie/mod.rs
+++ b/crates/mustardgrade-core/src/cookie/mod.rs
@@ -29,6 +29,7 @@
 mod startup_hold;
 mod tracker;
 mod upstream_load;
+mod upstream_view;
 mod utilisation;
 
 pub use admission::AdmissionMode;
@@ -49,12 +50,11 @@
 };
 pub use packet::{AnswerStage, CookiePacket, CookieVerdict, FlowEvent};
 pub use router::{CookieOptions, CookieRouter, FabricKind};
-pub use snapshot::{
-    CookieRoute, CookieSnapshot, SnapshotContext, UpstreamView, build_cookie_snapshot,
-};
+pub use snapshot::{CookieRoute, CookieSnapshot, SnapshotContext, build_cookie_snapshot};
 pub use startup_hold::{StartupHold, StartupPackets};
 pub use tracker::{FailureDetectionOptions, UpstreamTracker};
 pub use upstream_load::{PooledSpeed, ServiceLoad, SpeedEntry, SpeedTable, UpstreamLoad};
+pub use upstream_view::UpstreamView;
 
 #[cfg(test)]
 mod tests;
--- a/crates/mustardgrade-core/src/cookie/outliers/upstream.rs
+++ b/crates/mustardgrade-core/src/cookie/outliers/upstream.rs
@@ -7,7 +7,7 @@
 use super::window::OutcomeWindow;
 use crate::cookie::flow_cookie::FlowCookie;
 use crate::cookie::packet::FlowEvent;
-use crate::cookie::snapshot::UpstreamView;
+use crate::cookie::upstream_view::UpstreamView;
 use crate::identity::{DataCentreId, ServiceId, rendezvous_score};
 
 /// `UpstreamOutcomes` is what is known of one run of an upstream.
--- a/crates/mustardgrade-core/src/cookie/picker.rs
+++ b/crates/mustardgrade-core/src/cookie/picker.rs
@@ -7,9 +7,10 @@
 use super::load::PeerLoad;
 use super::load_limit::admits;
 use super::outliers::OutlierDetector;
-use super::snapshot::{CookieRoute, CookieSnapshot, UpstreamView};
+use super::snapshot::{CookieRoute, CookieSnapshot};
 use super::tracker::{FailureDetectionOptions, UpstreamTracker};
 use super::upstream_load::{LoadModel, RATIO_UNIT};
+use super::upstream_view::UpstreamView;
 use crate::identity::{ServiceId, rendezvous_score};
 use crate::pace::PaceTable;
 
--- a/crates/mustardgrade-core/src/cookie/snapshot.rs
+++ b/crates/mustardgrade-core/src/cookie/snapshot.rs
@@ -6,79 +6,12 @@
 
 use super::ended_runs::{EndedUpstream, ended_upstreams, former_runs};
 use super::flow_cookie::FlowCookie;
+use super::upstream_view::{UpstreamView, upstream_view};
 use crate::identity::{DataCentreId, ServiceId};
 use crate::registry::{
-    Manifest, RegisteredState, RegistryEntry, RegistryKey, RegistryTable, RegistryValue,
-    RouteBackend, RouteConfig, StorePosition,
+    RegistryKey, RegistryTable, RegistryValue, RouteBackend, RouteConfig, StorePosition,
 };
 
-/// Time for which an upstream still gets new flows after a removal that may be an effect of a store
-/// outage.
-const SPURIOUS_REMOVAL_GRACE_PERIOD: Duration = Duration::from_millis(2_200);
-
-/// Time after the removal of an upstream before it counts as gone; delayed registry updates arrive
-/// within it.
-const REMOVAL_GRACE_PERIOD: Duration = Duration::from_millis(2_500);
-
-/// Maximum time by which the registration of an upstream lags behind when it becomes cold.
-const MAX_COLD_REGISTRATION_DELAY: Duration = Duration::from_millis(500);
-
-/// `UpstreamView` is the state of one run of an upstream that traffic threads need.
-#[derive(Debug, Clone, PartialEq)]
-pub struct UpstreamView {
-    /// Cookie that its flows carry.
-    pub cookie: FlowCookie,
-    /// Configured name, for logging.
-    pub name: String,
-    /// Number of the upstream, as in forwarded packets and registry entries.
-    pub tag: u64,
-    /// Start time of the run; newer runs have larger values.
-    pub incarnation: u64,
-    /// Address at which it receives packets.
-    pub address: SocketAddrV4,
-    /// Service that it provides.
-    pub service: ServiceId,
-    /// Data centre in which it runs.
-    pub data_centre: DataCentreId,
-    /// Whether it is in the same data centre as the host.
-    pub is_local: bool,
-    /// Number of requests that it runs concurrently.
-    pub slots: u16,
-    /// Time until which it is cold.
-    pub cold_until: Duration,
-    /// Time until which it accepts new flows.
-    pub accepts_until: Duration,
-    /// Time from which it counts as gone, since its entry was removed.
-    pub gone_at: Option<Duration>,
-    /// Requests per second that it can handle while cold.
-    pub cold_rate: f64,
-}
-
-impl UpstreamView {
-    /// Returns a sort key that orders upstreams from oldest to newest.
-    fn age_key(&self) -> (u64, u64) {
-        (self.incarnation, self.tag)
-    }
-
-    /// Returns whether the upstream accepts new flows, cold or not.
-    #[must_use]
-    pub fn accepts_flows(&self, now: Duration) -> bool {
-        now < self.accepts_until
-    }
-
-    /// Returns whether the upstream is still cold.
-    #[must_use]
-    pub fn is_cold(&self, now: Duration) -> bool {
-        now < self.cold_until
-    }
-
-    /// Returns whether the upstream counts as gone.
-    #[must_use]
-    pub fn is_gone(&self, now: Duration) -> bool {
-        self.gone_at.is_some_and(|at| now >= at)
-    }
-}
-
 /// `CookieRoute` is a route of the manifest with the services of its open flows.
 #[derive(Debug, Clone, PartialEq)]
 pub struct CookieRoute {
@@ -179,7 +112,7 @@
     let mut upstreams: Vec<UpstreamView> = registry
         .entries()
         .filter_map(|(key, entry)| {
-            let view = upstream_view(entry, manifest, context, &evacuated)?;
+            let view = upstream_view(registry, entry, context, &evacuated)?;
             let gone_at = view.gone_at.filter(|_| !registry.may_have_returned(key));
             Some(UpstreamView { gone_at, ..view })
         })
@@ -237,60 +170,6 @@
     evacuated.collect()
 }
 
-fn upstream_view(
-    entry: &RegistryEntry,
-    manifest: &Manifest,
-    context: &SnapshotContext,
-    evacuated: &HashSet<DataCentreId>,
-) -> Option<UpstreamView> {
-    let (registration, removal_possibly_spurious) = match &entry.value {
-        RegistryValue::Upstream(registration) => (registration, None),
-        RegistryValue::Removed { possibly_spurious } => {
-            (entry.previous_registration.as_ref()?, Some(*possibly_spurious))
-        }
-        RegistryValue::Unusable => (entry.previous_registration.as_ref()?, Some(false)),
-        RegistryValue::Manifest(_) | RegistryValue::Evacuated | RegistryValue::RouteServices(_) => {
-            return None;
-        }
-    };
-    let service_config = manifest.service(registration.service);
-    let is_ready = registration.state == RegisteredState::Ready
-        && !evacuated.contains(&registration.data_centre);
-    let accepts_until = match removal_possibly_spurious {
-        None if is_ready => Duration::MAX,
-        Some(true) if is_ready => entry.learned_at + SPURIOUS_REMOVAL_GRACE_PERIOD,
-        None | Some(_) => Duration::ZERO,
-    };
-    let is_gone =
-        removal_possibly_spurious.is_some() && !matches!(entry.value, RegistryValue::Unusable);
-    let registered_cold_until =
-        match registration.cold_remaining.is_zero() || removal_possibly_spurious.is_some() {
-            true => Duration::ZERO,
-            false => entry.learned_at.saturating_add(registration.cold_remaining),
-        };
-    let evacuation_end = context.evacuation_ends.get(&registration.data_centre);
-    let cold_start_duration =
-        service_config.map_or(Duration::ZERO, |config| config.cold_start_duration);
-    let evacuation_cold_until = evacuation_end.map_or(Duration::ZERO, |at| {
-        at.saturating_add(cold_start_duration).saturating_add(MAX_COLD_REGISTRATION_DELAY)
-    });
-    Some(UpstreamView {
-        cookie: FlowCookie::derive(registration.tag, registration.incarnation),
-        name: registration.name.clone(),
-        tag: registration.tag,
-        incarnation: registration.incarnation,
-        address: registration.address,
-        service: registration.service,
-        data_centre: registration.data_centre,
-        is_local: context.data_centre == Some(registration.data_centre),
-        slots: registration.slots.max(1),
-        cold_until: registered_cold_until.max(evacuation_cold_until),
-        accepts_until,
-        gone_at: is_gone.then_some(entry.learned_at + REMOVAL_GRACE_PERIOD),
-        cold_rate: service_config.map_or(0.0, |config| config.max_cold_requests_per_sec),
-    })
-}
-
 /// Stops assigning new flows to upstreams whose address a newer upstream has taken over.
 fn close_superseded_upstreams(upstreams: &mut [UpstreamView]) {
     let mut newest: HashMap<SocketAddrV4, (u64, u64)> = HashMap::new();
@@ -335,8 +214,8 @@
 /// Maps cookies of an upstream's previous run to its current run, which resets such flows itself.
 fn index_previous_runs(by_cookie: &mut HashMap<FlowCookie, usize>, registry: &RegistryTable) {
     for entry in registry.entries().map(|(_, entry)| entry) {
-        let (RegistryValue::Upstream(registration), Some(previous_registration)) =
-            (&entry.value, &entry.previous_registration)
+        let (Some(registration), Some(previous_registration)) =
+            (registry.registration(entry), &entry.previous_registration)
         else {
             continue;
         };
--- a/crates/mustardgrade-core/src/cookie/tests/mod.rs
+++ b/crates/mustardgrade-core/src/cookie/tests/mod.rs
@@ -17,5 +17,6 @@
 mod slow_start;
 mod spillover;
 mod startup_hold;
+mod unnamed_services;
 mod upstream_load;
 mod upstream_selection;
--- a/crates/mustardgrade-core/src/cookie/tracker.rs
+++ b/crates/mustardgrade-core/src/cookie/tracker.rs
@@ -11,7 +11,8 @@
 
 use super::flow_cookie::FlowCookie;
 use super::load::PeerLoad;
-use super::snapshot::{CookieSnapshot, UpstreamView};
+use super::snapshot::CookieSnapshot;
+use super::upstream_view::UpstreamView;
 use crate::identity::rendezvous_score;
 
 /// Maximum multiple of the probe interval between two probes of one host; with the default interval
--- a/crates/mustardgrade-core/src/registry/ended_runs.rs
+++ b/crates/mustardgrade-core/src/registry/ended_runs.rs
@@ -44,7 +44,8 @@
             return Vec::new();
         }
         let mut by_address: HashMap<SocketAddrV4, Vec<PresentRegistration<'_>>> = HashMap::new();
-        for present in self.entries().filter_map(present_registration) {
+        let present = |(key, entry)| self.present_registration(key, entry);
+        for present in self.entries().filter_map(present) {
             by_address.entry(present.registration.address).or_default().push(present);
         }
         let to_ended_run = |(key, registration): (&RegistryKey, &Arc<UpstreamRegistration>)| {
@@ -55,6 +56,15 @@
         removed.filter_map(to_ended_run).collect()
     }
 
+    fn present_registration<'a>(
+        &self,
+        key: &'a RegistryKey,
+        entry: &'a RegistryEntry,
+    ) -> Option<PresentRegistration<'a>> {
+        let registration = self.registration(entry)?;
+        Some(PresentRegistration { key, entry, registration })
+    }
+
     fn ended_run(
         &self,
         key: &RegistryKey,
@@ -115,14 +125,3 @@
         _ => None,
     }
 }
-
-fn present_registration<'a>(
-    (key, entry): (&'a RegistryKey, &'a RegistryEntry),
-) -> Option<PresentRegistration<'a>> {
-    match &entry.value {
-        RegistryValue::Upstream(registration) => {
-            Some(PresentRegistration { key, entry, registration })
-        }
-        _ => None,
-    }
-}
--- a/crates/mustardgrade-core/src/registry/mod.rs
+++ b/crates/mustardgrade-core/src/registry/mod.rs
@@ -5,6 +5,7 @@
 mod ended_runs;
 mod errors;
 mod manifest;
+mod named_services;
 mod position;
 mod route_services;
 mod run_history;
--- a/crates/mustardgrade-core/src/registry/run_history.rs
+++ b/crates/mustardgrade-core/src/registry/run_history.rs
@@ -160,7 +160,13 @@
     /// Records which run a change of an upstream's entry begins, continues or ends.
     pub(super) fn record_run(&mut self, change: &RegistryChange, now: Duration) {
         let RegistryKey::Upstream(name) = &change.key else { return };
-        let RegistryValue::Upstream(registration) = &change.value else {
+        let written = match &change.value {
+            RegistryValue::Upstream(registration) => Some(registration),
+            _ => None,
+        };
+        let is_named =
+            |registration: &&Arc<UpstreamRegistration>| self.names_service(registration.service);
+        let Some(registration) = written.filter(is_named) else {
             if self.is_batch_condensed {
                 self.run_history.record_hidden_writes(name, change.position);
             }
--- a/crates/mustardgrade-core/src/registry/table.rs
+++ b/crates/mustardgrade-core/src/registry/table.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::manifest::Manifest;
+use super::named_services::NamedServices;
 use super::position::StorePosition;
 use super::route_services::RouteServices;
 use super::run_history::{RUN_RETENTION, RunHistory};
@@ -89,7 +90,7 @@
     pub value: RegistryValue,
     /// Time at which any host first learned of the last change.
     pub learned_at: Duration,
-    /// The latest registration of the upstream before the current value.
+    /// The latest registration of the upstream that was in force before the current value.
     pub previous_registration: Option<Arc<UpstreamRegistration>>,
 }
 
@@ -147,6 +148,7 @@
     history_start: StorePosition,
     read_gap: Option<ReadGap>,
     pub(super) run_history: RunHistory,
+    pub(super) named_services: NamedServices,
     /// Whether the batch that is being applied holds only the last write of each entry.
     pub(super) is_batch_condensed: bool,
 }
@@ -260,6 +262,7 @@
     }
 
     fn replace_entry(&mut self, change: RegistryChange, now: Duration) -> ApplyOutcome {
+        self.record_named_services(&change.value);
         self.record_run(&change, now);
         self.deferred_changes.remove(&change.key);
         let current = self.entries.get_mut(&change.key);
@@ -271,13 +274,8 @@
             return ApplyOutcome::Unchanged;
         }
         let current = self.entries.get(&change.key);
-        let previous_registration = current.and_then(|entry| match &entry.value {
-            RegistryValue::Upstream(registration) => Some(Arc::clone(registration)),
-            RegistryValue::Manifest(_)
-            | RegistryValue::Evacuated
-            | RegistryValue::Unusable
-            | RegistryValue::RouteServices(_)
-            | RegistryValue::Removed { .. } => entry.previous_registration.clone(),
+        let previous_registration = current.and_then(|entry| {
+            self.registration(entry).or(entry.previous_registration.as_ref()).map(Arc::clone)
         });
         let entry = RegistryEntry {
             position: change.position,
--- a/crates/mustardgrade-core/src/watch/past_services.rs
+++ b/crates/mustardgrade-core/src/watch/past_services.rs
@@ -28,6 +28,7 @@
         services: &RouteServices,
         outputs: &mut Vec<WatchOutput>,
     ) {
+        self.registry.learn_route_services(services);
         let mut is_new = false;
         for (address, services) in services.iter() {
             let known = self.snapshot_context.past_services.entry(address).or_default();
--- a/crates/mustardgrade-core/src/watch/replication.rs
+++ b/crates/mustardgrade-core/src/watch/replication.rs
@@ -350,6 +350,11 @@
                 return;
             }
             RegistryValue::Evacuated => "evacuated",
+            RegistryValue::Upstream(registration)
+                if !self.registry.names_service(registration.service) =>
+            {
+                "ignored, its service is not named by a manifest"
+            }
             RegistryValue::Upstream(registration) => match registration.state {
                 RegisteredState::Ready => "ready",
                 RegisteredState::Draining => "draining",
--- a/crates/mustardgrade-core/src/watch/tests/controller.rs
+++ b/crates/mustardgrade-core/src/watch/tests/controller.rs
@@ -8,7 +8,9 @@
 
 use crate::cookie::LoadReport;
 use crate::identity::DataCentreId;
-use crate::registry::{Manifest, RegistryChange, RegistryKey, RegistryValue, StorePosition};
+use crate::registry::{
+    Manifest, RegistryChange, RegistryKey, RegistryValue, ServiceConfig, StorePosition,
+};
 use crate::watch::{
     ChangeBatch, FleetDigest, FleetMemberState, FleetMemberSummary, FleetMessage, StoreCall,
     StoreFailure, WatchController, WatchInput, WatchOptions, WatchOutput, WatchSchedule,
@@ -37,8 +39,15 @@
     ChangeBatch { after: StorePosition::ORIGIN, through: position(revision), changes }
 }
 
+/// Returns a manifest without routes that names the service `desk`.
 pub(super) fn manifest(version: u64, revision: u64) -> RegistryChange {
-    let manifest = Manifest { version, ..Manifest::default() };
+    let desk = ServiceConfig {
+        name: "desk".to_owned(),
+        max_connections: 4_000,
+        cold_start_duration: Duration::ZERO,
+        max_cold_requests_per_sec: 0.0,
+    };
+    let manifest = Manifest { version, services: vec![desk], ..Manifest::default() };
     RegistryChange {
         key: RegistryKey::Manifest,
         position: position(revision),
--- a/crates/mustardgrade-node/src/cookie_host/admin_pages.rs
+++ b/crates/mustardgrade-node/src/cookie_host/admin_pages.rs
@@ -61,6 +61,12 @@
         // Writing to a `String` cannot fail.
         let _never_fails = match &entry.value {
             RegistryValue::Evacuated => writeln!(text, "{key}  # operator, revision {revision}"),
+            RegistryValue::Upstream(_) if registry.registration(entry).is_none() => {
+                writeln!(
+                    text,
+                    "# {key} is of a service that no manifest names, revision {revision}"
+                )
+            }
             RegistryValue::Upstream(registration) => writeln!(
                 text,
                 "upstream {} at={} slots={} state={}  # the upstream itself, revision {revision}",
