A flow's holder is known whichever transmission of its opening was accepted

Cause: the host sends the copy of an unanswered opening to a second upstream, and knows only that one. When the caller accepted the first, whose repeated answer came 2 ms earlier, the record of the flow was replaced by one that says nothing of the holder. The second upstream repeats its answer for seconds, and the caller returns its cookie.

Ruled out: another host (all packets pass one), a change of the registry or the manifest (none), the holder itself.

Change: the caller's bare acknowledgement after the opening names the holder by its own cookie, whichever upstream this host or another one chose. On related paths: an answered request names the holder as well; the packets go to it for as long as the caller returns the other cookie, not for 1 s; sequence numbers of both directions count, in both directions, so that overtaken packets are held and later flows of the port are not. observe_segment, which had grown over a screen, is split.

Why it works: the acceptance is sent at once on the answer that it accepts, so it carries that answer's cookie; and an upstream that does not hold a flow resets its packets, so one that has answered a request holds it.

--- a/crates/mustardgrade-core/src/cookie/ended_runs/idle_flows.rs
+++ b/crates/mustardgrade-core/src/cookie/ended_runs/idle_flows.rs
@@ -45,7 +45,7 @@
         let index = self.snapshot.running_index(flow.cookie);
         index.is_some_and(|index| self.load_model.is_modelled(index))
             && flow.stage == FlowStage::Open
-            && flow.foreign_cookie_since.is_none()
+            && !flow.has_foreign_cookie
             && self.options.fabric == FabricKind::Hash
             && self.ended_runs.keeps_host(flow.last_seen)
             && self.ended_runs.has_ended(flow.cookie, now)
--- a/crates/mustardgrade-core/src/cookie/mod.rs
+++ b/crates/mustardgrade-core/src/cookie/mod.rs
@@ -43,7 +43,7 @@
 };
 pub use flow_cookie::FlowCookie;
 pub use load::{LoadEntry, LoadReport, PeerLoad, PeerLoads};
-pub use observed_flows::{FlowStage, ObservedFlow, ObservedFlowTable};
+pub use observed_flows::{FlowStage, HolderEvidence, ObservedFlow, ObservedFlowTable};
 pub use outliers::{
     OutcomeEntry, OutcomeTable, OutlierCounters, OutlierMode, PooledOutcomes, RequestWatch,
     WatchStage,
--- a/crates/mustardgrade-core/src/cookie/observe.rs
+++ b/crates/mustardgrade-core/src/cookie/observe.rs
@@ -4,7 +4,7 @@
 
 use super::flow_cookie::FlowCookie;
 use super::load::{LoadEntry, LoadReport, MAX_REPORT_ENTRIES};
-use super::observed_flows::{FlowStage, ObservedFlow};
+use super::observed_flows::{FlowStage, HolderEvidence, ObservedFlow};
 use super::packet::{AnswerStage, CookiePacket, FlowEvent};
 use super::router::{CookieRouter, FabricKind};
 use super::tracker::UpstreamTracker;
@@ -32,70 +32,27 @@
     ) {
         let segment = &packet.segment;
         let known = self.flows.get(&segment.key).copied();
-        let is_acceptance = known.is_some_and(|flow| flow.is_accepted_by(segment, cookie));
-        let mut flow = match known {
-            Some(flow) if flow.cookie == cookie => flow,
-            Some(_) | None => {
-                self.remove_flow(&segment.key);
-                let flow = ObservedFlow::midstream(cookie, segment, now);
-                if !self.flows.insert(segment.key, flow) {
-                    return;
-                }
-                if segment.payload_length > 0 && !segment.closes_flow() {
-                    // Another host has received the packets so far, so the fabric moves flows.
-                    self.outliers.note_disturbance(now);
-                }
-                self.trackers[index].open_flows += 1;
-                if self.options.fabric == FabricKind::Any && segment.is_pure_acknowledgement() {
-                    // Callers send a pure acknowledgement as soon as they receive something, so the
-                    // upstream was alive when it was sent.
-                    self.record_alive(index, self.assumed_arrival(now));
-                }
-                flow
-            }
-        };
+        // After a delay, the flow may have been opened through another host.
+        let is_acceptance =
+            known.is_some_and(|flow| flow.is_accepted_by(segment)) && !self.is_delayed(now);
+        let known = known.filter(|flow| flow.cookie == cookie);
+        let observed =
+            known.or_else(|| self.insert_midstream(index, segment, cookie, is_acceptance, now));
+        let Some(mut flow) = observed else { return };
+        if is_acceptance {
+            flow.holder_evidence = HolderEvidence::Acceptance;
+        }
         let is_answered = flow.stage == FlowStage::Opening
             || segment.acknowledgement.wrapping_sub(flow.last_acknowledgement) as i32 > 0;
-        // After a delay, the flow may have been opened through another host.
-        flow.is_holder_observed |= is_acceptance && !self.is_delayed(now);
         let latest_arrival = self.latest_arrival(index, &flow, segment);
         if flow.stage == FlowStage::Opening {
-            flow.stage = FlowStage::Open;
-            flow.opening_latency = Some(now.saturating_sub(flow.opened_at));
-            self.push_answered(segment, AnswerStage::Opening, flow.opened_at, now);
-            if std::mem::take(&mut flow.is_counted_in_flight) {
-                self.trackers[index].pending_openings =
-                    self.trackers[index].pending_openings.saturating_sub(1);
-            }
-            self.trackers[index].open_flows += 1;
+            self.observe_opened(index, &mut flow, segment, now);
         }
         if is_answered || segment.payload_length > 0 {
             self.retract_refusal(index, &mut flow, segment, now);
         }
         if is_answered {
-            flow.last_acknowledgement = segment.acknowledgement;
-            let answered_at = flow.request_sent_at.unwrap_or(flow.opened_at);
-            let mut alive_at = self.assumed_arrival(now).max(answered_at);
-            if let Some(sent_at) = flow.request_sent_at.take() {
-                if segment.payload_length > 0 {
-                    // The answer may have arrived long before this request, which acknowledges it.
-                    alive_at = alive_at.min(sent_at + ASSUMED_ANSWER_DELAY);
-                }
-                self.push_answered(segment, AnswerStage::Request, sent_at, now);
-                self.record_pace_answer(index, segment, sent_at, now);
-                // The evidence of a refusal decides whether the times below count, so it comes
-                // first.
-                self.record_refusal_evidence(index, &mut flow, segment, sent_at, now);
-                self.record_admission_work(index, &flow, segment, sent_at, now);
-                self.record_speed_sample(index, &flow, segment, sent_at, now);
-                let counted_in_flight = u32::from(std::mem::take(&mut flow.is_counted_in_flight));
-                self.trackers[index].pending_requests =
-                    self.trackers[index].pending_requests.saturating_sub(counted_in_flight);
-            } else {
-                alive_at = alive_at.min(latest_arrival);
-            }
-            flow.is_counted_unanswered = false;
-            self.record_alive(index, alive_at);
+            self.observe_answer(index, &mut flow, segment, latest_arrival, now);
         }
         self.observe_outcome(index, &mut flow, segment, is_answered, now);
         if segment.payload_length > 0 {
@@ -107,6 +64,88 @@
         }
     }
 
+    /// Creates the entry of an open flow whose opening this host has not forwarded to the upstream
+    /// of its packets; returns `None` if the flow table is full.
+    fn insert_midstream(
+        &mut self,
+        index: usize,
+        segment: &FlowPacket,
+        cookie: FlowCookie,
+        is_acceptance: bool,
+        now: Duration,
+    ) -> Option<ObservedFlow> {
+        self.remove_flow(&segment.key);
+        let flow = ObservedFlow::midstream(cookie, segment, now);
+        if !self.flows.insert(segment.key, flow) {
+            return None;
+        }
+        if segment.payload_length > 0 && !segment.closes_flow() {
+            // Another host has received the packets so far, so the fabric moves flows.
+            self.outliers.note_disturbance(now);
+        }
+        self.trackers[index].open_flows += 1;
+        let is_prompt = is_acceptance || self.options.fabric == FabricKind::Any;
+        if is_prompt && segment.is_pure_acknowledgement() {
+            // Callers send a pure acknowledgement as soon as they receive something, so the upstream
+            // was alive when it was sent.
+            self.record_alive(index, self.assumed_arrival(now));
+        }
+        Some(flow)
+    }
+
+    /// Updates a flow whose opening was forwarded from the caller's first packet after it.
+    fn observe_opened(
+        &mut self,
+        index: usize,
+        flow: &mut ObservedFlow,
+        segment: &FlowPacket,
+        now: Duration,
+    ) {
+        flow.stage = FlowStage::Open;
+        flow.opening_latency = Some(now.saturating_sub(flow.opened_at));
+        self.push_answered(segment, AnswerStage::Opening, flow.opened_at, now);
+        let tracker = &mut self.trackers[index];
+        if std::mem::take(&mut flow.is_counted_in_flight) {
+            tracker.pending_openings = tracker.pending_openings.saturating_sub(1);
+        }
+        tracker.open_flows += 1;
+    }
+
+    /// Updates a flow whose caller acknowledges new bytes, or the opening. `latest_arrival` is the
+    /// latest time at which they may have arrived if no request awaits an answer.
+    fn observe_answer(
+        &mut self,
+        index: usize,
+        flow: &mut ObservedFlow,
+        segment: &FlowPacket,
+        latest_arrival: Duration,
+        now: Duration,
+    ) {
+        flow.last_acknowledgement = segment.acknowledgement;
+        let answered_at = flow.request_sent_at.unwrap_or(flow.opened_at);
+        let mut alive_at = self.assumed_arrival(now).max(answered_at);
+        if let Some(sent_at) = flow.request_sent_at.take() {
+            if segment.payload_length > 0 {
+                // The answer may have arrived long before this request, which acknowledges it.
+                alive_at = alive_at.min(sent_at + ASSUMED_ANSWER_DELAY);
+            }
+            flow.holder_evidence = flow.holder_evidence.max(HolderEvidence::Answer);
+            self.push_answered(segment, AnswerStage::Request, sent_at, now);
+            self.record_pace_answer(index, segment, sent_at, now);
+            // The evidence of a refusal decides whether the times below count, so it comes first.
+            self.record_refusal_evidence(index, flow, segment, sent_at, now);
+            self.record_admission_work(index, flow, segment, sent_at, now);
+            self.record_speed_sample(index, flow, segment, sent_at, now);
+            let counted_in_flight = u32::from(std::mem::take(&mut flow.is_counted_in_flight));
+            self.trackers[index].pending_requests =
+                self.trackers[index].pending_requests.saturating_sub(counted_in_flight);
+        } else {
+            alive_at = alive_at.min(latest_arrival);
+        }
+        flow.is_counted_unanswered = false;
+        self.record_alive(index, alive_at);
+    }
+
     pub(super) fn observe_payload(
         &mut self,
         index: usize,
@@ -118,7 +157,8 @@
         let has_new_data = payload_end.wrapping_sub(flow.next_sequence) as i32 > 0;
         if has_new_data {
             flow.next_sequence = payload_end;
-            let is_first = flow.is_holder_observed && flow.last_data_sent_at.is_zero();
+            let is_first = flow.holder_evidence == HolderEvidence::Acceptance
+                && flow.last_data_sent_at.is_zero();
             flow.last_data_sent_at = now;
             // The caller could go on, so the upstream has acknowledged what came before.
             flow.is_counted_unanswered = false;
--- a/crates/mustardgrade-core/src/cookie/observed_flows.rs
+++ b/crates/mustardgrade-core/src/cookie/observed_flows.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
 use super::flow_cookie::FlowCookie;
@@ -23,6 +24,29 @@
     Open,
 }
 
+/// `HolderEvidence` is what shows that the upstream of an observed flow is the one that holds it.
+///
+/// Two upstreams may have answered the transmissions of an opening. The caller accepts one of them,
+/// but returns the cookie that it has received last, which may be that of the other.
+#[derive(
+    Debug, Display, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum HolderEvidence {
+    /// Only the cookie of the caller's packets.
+    #[default]
+    #[display("cookie")]
+    Cookie,
+    /// The upstream has answered a request that this host forwarded to it; another one would have
+    /// reset the flow.
+    #[display("answer")]
+    Answer,
+    /// The caller has accepted the upstream's answer to the opening, by a packet that it sends at
+    /// once.
+    #[display("acceptance")]
+    Acceptance,
+}
+
 /// `ObservedFlow` is what a host has observed of one flow.
 ///
 /// It is soft state for load tracking and failure detection: after its loss, open flows are still
@@ -59,11 +83,10 @@
     /// When the last answer was counted as a refusal; the flow may still go on and show that it
     /// was none.
     pub refusal_assumed_at: Option<Duration>,
-    /// Whether this host has observed the caller's acknowledgement of the opening. Its cookie comes
-    /// from the upstream that holds the flow.
-    pub is_holder_observed: bool,
-    /// Since when the caller's packets have carried the cookie of another upstream.
-    pub foreign_cookie_since: Option<Duration>,
+    /// What shows that the upstream of the cookie holds the flow.
+    pub holder_evidence: HolderEvidence,
+    /// Whether the caller's last packet carried the cookie of another upstream.
+    pub has_foreign_cookie: bool,
     /// The last request, if its outcome is observed and not settled yet.
     pub watch: Option<RequestWatch>,
 }
@@ -87,8 +110,8 @@
             was_queued: false,
             is_counted_unanswered: false,
             refusal_assumed_at: None,
-            is_holder_observed: false,
-            foreign_cookie_since: None,
+            holder_evidence: HolderEvidence::Cookie,
+            has_foreign_cookie: false,
             watch: None,
         }
     }
@@ -111,8 +134,8 @@
             was_queued: false,
             is_counted_unanswered: false,
             refusal_assumed_at: None,
-            is_holder_observed: false,
-            foreign_cookie_since: None,
+            holder_evidence: HolderEvidence::Cookie,
+            has_foreign_cookie: false,
             watch: None,
         }
     }
@@ -132,21 +155,26 @@
     }
 
     /// Returns whether a packet is the caller's acknowledgement of this flow's opening, by which it
-    /// accepts the upstream of the cookie. Later packets may carry that of another upstream.
+    /// accepts the upstream of the packet's cookie.
+    ///
+    /// That may be the upstream of another transmission of the opening, which this host or another
+    /// one has forwarded before. Later packets may carry the cookie of one that was not accepted.
     #[must_use]
-    pub(super) fn is_accepted_by(&self, packet: &FlowPacket, cookie: FlowCookie) -> bool {
+    pub(super) fn is_accepted_by(&self, packet: &FlowPacket) -> bool {
         self.stage == FlowStage::Opening
             && packet.sequence == self.next_sequence
-            && packet.payload_length == 0
-            && self.cookie == cookie
+            && packet.is_pure_acknowledgement()
     }
 
-    /// Returns whether a packet acknowledges what the upstream that holds the flow has sent, and
-    /// not what another one has, by its sequence numbers.
+    /// Returns whether the upstream of this flow is known to hold the flow of a packet, which
+    /// acknowledges what that upstream has sent, by its sequence numbers.
     #[must_use]
     pub(super) fn is_held_for(&self, packet: &FlowPacket) -> bool {
-        let advance = packet.acknowledgement.wrapping_sub(self.last_acknowledgement);
-        self.is_holder_observed && advance < MAX_SEQUENCE_ADVANCE
+        // Packets may overtake each other.
+        let distance = packet.acknowledgement.wrapping_sub(self.last_acknowledgement) as i32;
+        self.holder_evidence > HolderEvidence::Cookie
+            && distance.unsigned_abs() < MAX_SEQUENCE_ADVANCE
+            && self.includes(packet)
     }
 }
 
--- a/crates/mustardgrade-core/src/cookie/outliers/observation.rs
+++ b/crates/mustardgrade-core/src/cookie/outliers/observation.rs
@@ -8,7 +8,7 @@
 use super::evidence::RequestOutcome;
 use super::pool::OutcomeEntry;
 use super::request_watch::{IDLE_DELAY, RequestWatch, WatchStage, silence_limit};
-use crate::cookie::observed_flows::ObservedFlow;
+use crate::cookie::observed_flows::{HolderEvidence, ObservedFlow};
 use crate::cookie::router::{CookieRouter, FabricKind};
 use crate::flow::FlowPacket;
 
@@ -29,7 +29,8 @@
     ) {
         flow.watch = None;
         let is_certain = self.options.fabric == FabricKind::Hash
-            && flow.is_holder_observed
+            && flow.opening_latency.is_some()
+            && flow.holder_evidence == HolderEvidence::Acceptance
             && !self.has_stalled
             && !self.is_delayed(now);
         if !is_certain || !self.outliers.observes(index) {
--- a/crates/mustardgrade-core/src/cookie/router.rs
+++ b/crates/mustardgrade-core/src/cookie/router.rs
@@ -332,7 +332,7 @@
                 false => CookieVerdict::Drop(CookieDropCause::UnknownRoute),
             };
         };
-        let cookie = self.holder_cookie(snapshot, packet, now);
+        let cookie = self.holder_cookie(snapshot, packet);
         let former_run =
             || snapshot.former_run_index(cookie).filter(|_| self.ended_runs.resets_flows());
         let Some(index) = snapshot.upstream_index(cookie).or_else(former_run) else {
--- a/crates/mustardgrade-core/src/cookie/tests/mod.rs
+++ b/crates/mustardgrade-core/src/cookie/tests/mod.rs
@@ -9,6 +9,7 @@
 mod explain;
 mod failure_detection;
 mod fixtures;
+mod holders;
 mod late_openings;
 mod misrouting;
 mod outliers;
