Hosts tell each other which upstream holds a flow whose opening reached two

Planned stops move nearly all flows, and the rule always counts then.

Cause: the holder was known only to the host that received the acceptance.

Change: a part of its own, cookie/holders/. A host that sees a caller accept an upstream, while another one may have received the opening too (sent elsewhere, or in part by another host), tells the hosts of its data centre in a message of its own: three datagrams, since they may be lost, at most 32 flows each. They remember it for 30 s and tell flows of one port apart by the sequence numbers.

Why it works: the second answer reaches the caller after the acceptance, and is repeated for 10 s; the message takes a tenth of a second.

Flows of which one upstream only has received the opening add no message (holders_of_contested_flows_only_are_told_three_times).

Left: hosts that start later are not told.

--- a/crates/mustardgrade-core/src/cookie/explain/dry_run.rs
+++ b/crates/mustardgrade-core/src/cookie/explain/dry_run.rs
@@ -9,6 +9,7 @@
 use super::explanation::FlowExplanation;
 use super::reason::describe;
 use crate::cookie::flow_cookie::FlowCookie;
+use crate::cookie::holders::HolderAnnouncements;
 use crate::cookie::packet::CookiePacket;
 use crate::cookie::picker::PickBuffers;
 use crate::cookie::router::CookieRouter;
@@ -122,6 +123,7 @@
             spillover: self.spillover.clone(),
             admission: self.admission.clone(),
             ended_runs: self.ended_runs.clone(),
+            holder_announcements: HolderAnnouncements::default(),
             outliers: self.outliers.clone(),
         }
     }
--- a/crates/mustardgrade-core/src/cookie/load.rs
+++ b/crates/mustardgrade-core/src/cookie/load.rs
@@ -1,13 +1,16 @@
 //! Upstream load and liveness reports that hosts exchange.
 
 use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use super::flow_cookie::FlowCookie;
+use super::holders::{FlowHolder, PeerHolders};
 use super::outliers::{OutcomeEntry, OutcomeTable, PooledOutcomes};
 use super::upstream_load::{PooledSpeed, SpeedEntry, SpeedTable};
+use crate::flow::FlowPacket;
 
 /// Maximum number of upstreams in a report, so that it fits into one datagram.
 pub(super) const MAX_REPORT_ENTRIES: usize = 96;
@@ -52,6 +55,9 @@
     pub speeds: Vec<SpeedEntry>,
     /// Outcomes of the requests of upstreams of which some have failed.
     pub outcomes: Vec<OutcomeEntry>,
+    /// Holders of flows that the host has observed; they are sent in a message of their own.
+    #[serde(skip)]
+    pub holders: Vec<FlowHolder>,
 }
 
 impl LoadReport {
@@ -92,6 +98,7 @@
             entries,
             speeds: Vec::new(),
             outcomes: self.outcomes.clone(),
+            holders: Vec::new(),
         }
     }
 }
@@ -172,6 +179,8 @@
     has_unanswered: bool,
     speeds: HashMap<FlowCookie, PooledSpeed>,
     outcomes: HashMap<FlowCookie, PooledOutcomes>,
+    #[serde(skip)]
+    holders: Arc<PeerHolders>,
 }
 
 impl PeerLoads {
@@ -197,6 +206,17 @@
         &self.outcomes
     }
 
+    /// Sets the holders of flows that the other hosts have observed.
+    pub fn set_holders(&mut self, holders: &Arc<PeerHolders>) {
+        self.holders = Arc::clone(holders);
+    }
+
+    /// Returns the cookie of the upstream that holds the flow of a packet, if another host has told.
+    #[must_use]
+    pub fn holder_of(&self, packet: &FlowPacket) -> Option<FlowCookie> {
+        self.holders.holder_of(packet)
+    }
+
     /// Adds a report that was received at `received_at`.
     pub fn add(&mut self, report: &LoadReport, received_at: Duration) {
         self.complete_reports += usize::from(report.complete);
--- a/crates/mustardgrade-core/src/cookie/mod.rs
+++ b/crates/mustardgrade-core/src/cookie/mod.rs
@@ -42,6 +42,7 @@
     ServiceChoice, ServiceReason, SlowStartExplanation, UpstreamEvidence, VerdictExplanation,
 };
 pub use flow_cookie::FlowCookie;
+pub use holders::{FlowHolder, PeerHolders};
 pub use load::{LoadEntry, LoadReport, PeerLoad, PeerLoads};
 pub use observed_flows::{FlowStage, HolderEvidence, ObservedFlow, ObservedFlowTable};
 pub use outliers::{
--- a/crates/mustardgrade-core/src/cookie/observe.rs
+++ b/crates/mustardgrade-core/src/cookie/observe.rs
@@ -33,8 +33,11 @@
         let segment = &packet.segment;
         let known = self.flows.get(&segment.key).copied();
         // After a delay, the flow may have been opened through another host.
-        let is_acceptance =
-            known.is_some_and(|flow| flow.is_accepted_by(segment)) && !self.is_delayed(now);
+        let accepted = known.filter(|flow| flow.is_accepted_by(segment) && !self.is_delayed(now));
+        if let Some(opening) = &accepted {
+            self.note_acceptance(opening, segment, cookie);
+        }
+        let is_acceptance = accepted.is_some();
         let known = known.filter(|flow| flow.cookie == cookie);
         let observed =
             known.or_else(|| self.insert_midstream(index, segment, cookie, is_acceptance, now));
@@ -271,6 +274,7 @@
             speeds: self.load_model.report(&entries),
             entries,
             outcomes,
+            holders: self.holder_announcements.next_message(),
         }
     }
 }
--- a/crates/mustardgrade-core/src/cookie/observed_flows.rs
+++ b/crates/mustardgrade-core/src/cookie/observed_flows.rs
@@ -12,7 +12,7 @@
 
 /// Distance up to which sequence numbers are taken for those of one flow, since each flow begins at
 /// a random one.
-const MAX_SEQUENCE_ADVANCE: u32 = 1 << 20;
+pub(super) const MAX_SEQUENCE_ADVANCE: u32 = 1 << 20;
 
 /// `FlowStage` is the connection state of a flow, inferred from the caller's packets.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -85,6 +85,8 @@
     pub refusal_assumed_at: Option<Duration>,
     /// What shows that the upstream of the cookie holds the flow.
     pub holder_evidence: HolderEvidence,
+    /// Whether another upstream may have received a transmission of the opening, too.
+    pub is_contested: bool,
     /// Whether the caller's last packet carried the cookie of another upstream.
     pub has_foreign_cookie: bool,
     /// The last request, if its outcome is observed and not settled yet.
@@ -111,6 +113,7 @@
             is_counted_unanswered: false,
             refusal_assumed_at: None,
             holder_evidence: HolderEvidence::Cookie,
+            is_contested: false,
             has_foreign_cookie: false,
             watch: None,
         }
@@ -135,6 +138,7 @@
             is_counted_unanswered: false,
             refusal_assumed_at: None,
             holder_evidence: HolderEvidence::Cookie,
+            is_contested: false,
             has_foreign_cookie: false,
             watch: None,
         }
--- a/crates/mustardgrade-core/src/cookie/openings.rs
+++ b/crates/mustardgrade-core/src/cookie/openings.rs
@@ -243,8 +243,10 @@
         now: Duration,
     ) -> CookieVerdict {
         let cookie = snapshot.upstreams[index].cookie;
+        let is_contested = self.is_contested_opening(snapshot, segment, index);
         self.remove_flow(&segment.key);
-        if self.flows.insert(segment.key, ObservedFlow::opening(cookie, segment, now)) {
+        let flow = ObservedFlow { is_contested, ..ObservedFlow::opening(cookie, segment, now) };
+        if self.flows.insert(segment.key, flow) {
             self.trackers[index].record_opening(now);
             let is_delayed = self.is_delayed(now);
             let opening = QueuedOpening { key: segment.key, sent_at: now, is_delayed };
--- a/crates/mustardgrade-core/src/cookie/router.rs
+++ b/crates/mustardgrade-core/src/cookie/router.rs
@@ -10,6 +10,7 @@
 use super::admission::{AdmissionController, AdmissionMode};
 use super::counters::{CookieCounters, CookieDropCause, ResetCause};
 use super::ended_runs::{EndedRuns, EndedUpstreamAction};
+use super::holders::HolderAnnouncements;
 use super::load::{PeerLoad, PeerLoads};
 use super::observed_flows::{FlowStage, ObservedFlow, ObservedFlowTable};
 use super::openings::{QueuedOpening, RefusedOpening};
@@ -126,6 +127,7 @@
     pub(super) spillover: BackendSelector,
     pub(super) admission: AdmissionController,
     pub(super) ended_runs: EndedRuns,
+    pub(super) holder_announcements: HolderAnnouncements,
     pub(super) outliers: OutlierDetector,
 }
 
@@ -161,6 +163,7 @@
             spillover: BackendSelector::default(),
             admission: AdmissionController::new(options.admission),
             ended_runs: EndedRuns::new(options.ended_upstreams),
+            holder_announcements: HolderAnnouncements::default(),
             outliers: OutlierDetector::new(options.outlier_detection),
         }
     }
--- a/crates/mustardgrade-core/src/cookie/tests/holders.rs
+++ b/crates/mustardgrade-core/src/cookie/tests/holders.rs
@@ -1,10 +1,14 @@
 //! The upstream that holds a flow whose opening two upstreams have answered.
 
+use std::sync::Arc;
+
 use super::fixtures::{
     DESK_ROUTE, TestRegistry, cookie_of, established_packet, flow_key, ms, routed_tag, syn_packet,
     upstream_registration,
 };
-use crate::cookie::{CookiePacket, CookieRouter, FlowCookie, FlowEvent};
+use crate::cookie::{
+    CookiePacket, CookieRouter, FlowCookie, FlowEvent, FlowHolder, PeerHolders, PeerLoads,
+};
 use crate::flow::FlowKey;
 
 /// Number of the first byte that the holder has sent after its answer to the opening.
@@ -160,3 +164,111 @@
     flow.router.route_received(&packet, ms(1_203), ms(1_503));
     assert_eq!(flow.route(second, 101, HOLDER_NUMBER, 50, 1_510), second);
 }
+
+/// Installs holders that another host has told of at 1,300 ms.
+fn install_holders(router: &mut CookieRouter, holders: &[FlowHolder]) {
+    let mut known = PeerHolders::default();
+    known.record(holders, ms(1_300));
+    let mut loads = PeerLoads::default();
+    loads.set_holders(&Arc::new(known));
+    router.install_peer_loads(Arc::new(loads));
+}
+
+/// Guards against a reset of a flow that the fabric has moved to another host, while its caller
+/// returns the cookie of the upstream that does not hold it.
+#[test]
+fn flow_that_moves_to_another_host_stays_with_its_holder() {
+    let mut flow = DoubleOpening::new();
+    let (first, second) = (flow.first_tag, flow.second_tag);
+    flow.route(first, 101, HOLDER_NUMBER, 0, 1_203);
+    let holders = flow.router.load_report(ms(1_300)).holders;
+    assert_eq!(holders.len(), 1);
+    let mut registry = TestRegistry::new();
+    registry.add_upstreams("desk", "a", 1..9);
+    for (knows_holder, sequence, expected) in
+        [(true, 151, first), (false, 151, second), (true, 0x7000_0151, second)]
+    {
+        let mut other_host = registry.router();
+        if knows_holder {
+            install_holders(&mut other_host, &holders);
+        }
+        let packet = flow.packet(second, sequence, HOLDER_NUMBER + 90, 50);
+        let tag = routed_tag(&mut other_host, &packet, ms(6_760));
+        assert_eq!(tag, expected, "{knows_holder} {sequence}");
+    }
+}
+
+/// Guards against the same if the other host has forwarded a transmission of the opening.
+#[test]
+fn acceptance_that_passed_another_host_names_the_holder() {
+    let mut registry = TestRegistry::new();
+    registry.add_upstreams("desk", "a", 1..9);
+    let (mut host, mut other_host) = (registry.router(), registry.router());
+    host.process_timeouts(ms(1_000));
+    let key = flow_key(1, DESK_ROUTE);
+    let tag = routed_tag(&mut host, &syn_packet(key, 1), ms(1_000));
+    let holder = tag % 8 + 1;
+    let accept = established_packet(key, cookie_of_tag(holder), 101, HOLDER_NUMBER, 0);
+    routed_tag(&mut host, &accept, ms(1_010));
+    routed_tag(&mut other_host, &syn_packet(key, 2), ms(1_020));
+    install_holders(&mut other_host, &host.load_report(ms(1_100)).holders);
+    let request = established_packet(key, cookie_of_tag(tag), 101, HOLDER_NUMBER, 50);
+    assert_eq!(routed_tag(&mut other_host, &request, ms(1_400)), holder);
+}
+
+/// Guards against messages about flows of which one upstream only has received the opening, and
+/// against holders that other hosts miss since one datagram is lost.
+#[test]
+fn holders_of_contested_flows_only_are_told_three_times() {
+    let mut registry = TestRegistry::new();
+    registry.add_upstreams("desk", "a", 1..9);
+    let mut router = registry.router();
+    router.process_timeouts(ms(1_000));
+    let open = |router: &mut CookieRouter, caller, transmissions: &[u32]| {
+        let key = flow_key(caller, DESK_ROUTE);
+        let mut tag = 0;
+        for transmission in transmissions {
+            let at_ms = 1_000 + u64::from(*transmission) * 200;
+            router.process_timeouts(ms(at_ms - 1));
+            tag = routed_tag(router, &syn_packet(key, *transmission), ms(at_ms));
+        }
+        let accept = established_packet(key, cookie_of_tag(tag), 101, HOLDER_NUMBER, 0);
+        router.process_timeouts(ms(1_449));
+        routed_tag(router, &accept, ms(1_450));
+        key
+    };
+    open(&mut router, 1, &[0]);
+    let redirected = open(&mut router, 2, &[0, 1]);
+    let moved_here = open(&mut router, 3, &[2]);
+    for at_ms in [1_500, 1_600, 1_700] {
+        let holders = router.load_report(ms(at_ms)).holders;
+        let keys: Vec<FlowKey> = holders.iter().map(|holder| holder.key).collect();
+        assert_eq!(keys, [redirected, moved_here], "{at_ms}");
+    }
+    assert_eq!(router.load_report(ms(1_800)).holders, []);
+}
+
+/// Guards against messages that exceed a datagram when many openings are sent to a second upstream.
+#[test]
+fn many_holders_are_told_in_several_messages() {
+    let mut registry = TestRegistry::new();
+    registry.add_upstreams("desk", "a", 1..9);
+    let mut router = registry.router();
+    router.process_timeouts(ms(1_000));
+    for caller in 0..100 {
+        let key = flow_key(caller, DESK_ROUTE);
+        let tag = routed_tag(&mut router, &syn_packet(key, 1), ms(1_000));
+        let accept = established_packet(key, cookie_of_tag(tag), 101, HOLDER_NUMBER, 0);
+        routed_tag(&mut router, &accept, ms(1_010));
+    }
+    let mut times_told = std::collections::HashMap::new();
+    for message in 0..12 {
+        let holders = router.load_report(ms(1_100 + message * 100)).holders;
+        assert!(holders.len() <= 32);
+        for holder in holders {
+            *times_told.entry(holder.key).or_insert(0) += 1;
+        }
+    }
+    assert_eq!(times_told.len(), 100);
+    assert!(times_told.values().all(|times| *times == 3));
+}
--- a/crates/mustardgrade-core/src/cookie/tests/overload.rs
+++ b/crates/mustardgrade-core/src/cookie/tests/overload.rs
@@ -290,6 +290,7 @@
             entries,
             speeds: Vec::new(),
             outcomes: Vec::new(),
+            holders: Vec::new(),
         };
         peers.add(&report, ms(1_070));
     }
--- a/crates/mustardgrade-core/src/cookie/tests/upstream_selection.rs
+++ b/crates/mustardgrade-core/src/cookie/tests/upstream_selection.rs
@@ -64,6 +64,7 @@
             entries: vec![busy_upstream],
             speeds: Vec::new(),
             outcomes: Vec::new(),
+            holders: Vec::new(),
         },
         ms(5),
     );
--- a/crates/mustardgrade-core/src/watch/controller.rs
+++ b/crates/mustardgrade-core/src/watch/controller.rs
@@ -258,6 +258,10 @@
             self.peer_loads.record(*from, report.clone(), now);
             outputs.push(WatchOutput::InstallPeerLoads(self.peer_loads.total()));
         }
+        if let FleetMessage::Holders(holders) = message {
+            self.peer_loads.record_holders(holders, now);
+            outputs.push(WatchOutput::InstallPeerLoads(self.peer_loads.total()));
+        }
         let Some(digest) = message.digest() else { return };
         let from = digest.sender.address;
         if from == self.options.address {
--- a/crates/mustardgrade-core/src/watch/gossip.rs
+++ b/crates/mustardgrade-core/src/watch/gossip.rs
@@ -12,7 +12,7 @@
 use super::message::{
     ChangeBatch, FleetDigest, FleetMemberState, FleetMemberSummary, FleetMessage, saturating_millis,
 };
-use crate::cookie::{FlowCookie, LoadReport};
+use crate::cookie::{FlowCookie, FlowHolder, LoadReport};
 use crate::identity::DataCentreId;
 use crate::registry::EndedRun;
 
@@ -115,6 +115,7 @@
         outputs: &mut Vec<WatchOutput>,
     ) {
         self.update_isolation(report.all_suspected, now, outputs);
+        self.share_holders(&report.holders, now, outputs);
         let (saturated, has_unanswered) = (report.saturated, report.has_unanswered());
         // A single host may see saturation just because it has more than its share of the load.
         // Until more hosts do, it reports only that, and the upstreams that leave flows of other
@@ -166,6 +167,24 @@
         }
     }
 
+    /// Tells hosts of the data centre which upstreams hold some flows, which may move to them.
+    fn share_holders(
+        &mut self,
+        holders: &[FlowHolder],
+        now: Duration,
+        outputs: &mut Vec<WatchOutput>,
+    ) {
+        if holders.is_empty() {
+            return;
+        }
+        let local = self.fleet.active_in(self.options.data_centre, now);
+        let addresses = local.map(|member| member.address);
+        for to in addresses.sample(&mut self.rng, BROADCAST_FANOUT) {
+            let message = FleetMessage::Holders(holders.to_vec());
+            outputs.push(WatchOutput::Send { to, message });
+        }
+    }
+
     /// Returns the runs of a report that have shown that they are alive after the registry's proof
     /// that they have ended.
     fn runs_alive_despite_proof(&self, report: &LoadReport, now: Duration) -> Vec<FlowCookie> {
--- a/crates/mustardgrade-core/src/watch/message.rs
+++ b/crates/mustardgrade-core/src/watch/message.rs
@@ -6,7 +6,7 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-use crate::cookie::LoadReport;
+use crate::cookie::{FlowHolder, LoadReport};
 use crate::identity::DataCentreId;
 use crate::registry::{RegistryChange, StorePosition};
 
@@ -93,15 +93,17 @@
     Changes(FleetDigest, ChangeBatch),
     /// The load report of the host at an address.
     Load(Ipv4Addr, LoadReport),
+    /// The upstreams that hold some flows, which a host has observed.
+    Holders(Vec<FlowHolder>),
 }
 
 impl FleetMessage {
-    /// Returns the digest of the message; load reports have none.
+    /// Returns the digest of the message; load reports and holders have none.
     #[must_use]
     pub fn digest(&self) -> Option<&FleetDigest> {
         match self {
             Self::Digest(digest) | Self::Changes(digest, _) => Some(digest),
-            Self::Load(..) => None,
+            Self::Load(..) | Self::Holders(_) => None,
         }
     }
 }
--- a/crates/mustardgrade-core/src/watch/peer_loads.rs
+++ b/crates/mustardgrade-core/src/watch/peer_loads.rs
@@ -2,9 +2,12 @@
 
 use std::collections::{HashMap, HashSet};
 use std::net::Ipv4Addr;
+use std::sync::Arc;
 use std::time::Duration;
 
-use crate::cookie::{FlowCookie, LoadReport, OutcomeTable, PeerLoads, SpeedTable};
+use crate::cookie::{
+    FlowCookie, FlowHolder, LoadReport, OutcomeTable, PeerHolders, PeerLoads, SpeedTable,
+};
 
 /// Time for which a report is valid; a host with something to report sends one every 100 ms.
 const REPORT_TTL: Duration = Duration::from_millis(350);
@@ -15,6 +18,7 @@
     reports: HashMap<Ipv4Addr, (Duration, LoadReport)>,
     speeds: SpeedTable,
     outcomes: OutcomeTable,
+    holders: Arc<PeerHolders>,
 }
 
 impl PeerLoadTable {
@@ -25,10 +29,18 @@
         self.reports.insert(host, (now, report));
     }
 
+    /// Stores holders of flows that another host has observed.
+    pub fn record_holders(&mut self, holders: &[FlowHolder], now: Duration) {
+        Arc::make_mut(&mut self.holders).record(holders, now);
+    }
+
     /// Removes expired reports; returns true if there were any.
     pub fn remove_expired(&mut self, now: Duration) -> bool {
         self.speeds.remove_expired(now);
         self.outcomes.remove_expired(now);
+        if self.holders.is_expiry_due(now) {
+            Arc::make_mut(&mut self.holders).remove_expired(now);
+        }
         let count_before = self.reports.len();
         self.reports.retain(|_, (received_at, _)| now.saturating_sub(*received_at) < REPORT_TTL);
         self.reports.len() != count_before
@@ -56,6 +68,7 @@
         }
         loads.set_speeds(&self.speeds);
         loads.set_outcomes(&self.outcomes);
+        loads.set_holders(&self.holders);
         loads
     }
 }
--- a/crates/mustardgrade-core/src/watch/tests/controller.rs
+++ b/crates/mustardgrade-core/src/watch/tests/controller.rs
@@ -146,7 +146,7 @@
     );
 }
 
-fn digest_of_peer(confirmation_age_ms: u32) -> FleetDigest {
+pub(super) fn digest_of_peer(confirmation_age_ms: u32) -> FleetDigest {
     let sender = FleetMemberSummary {
         address: Ipv4Addr::new(10, 0, 0, 2),
         data_centre: DataCentreId::from_name("a"),
--- a/crates/mustardgrade-core/src/watch/tests/mod.rs
+++ b/crates/mustardgrade-core/src/watch/tests/mod.rs
@@ -3,6 +3,7 @@
 
 mod controller;
 mod ended_runs;
+mod holders;
 mod restore;
 mod route_services;
 mod service_writes;
--- a/crates/mustardgrade-node/src/cookie_host/traffic_thread.rs
+++ b/crates/mustardgrade-node/src/cookie_host/traffic_thread.rs
@@ -399,6 +399,7 @@
             let is_relevant = report.saturated
                 || report.all_suspected
                 || report.has_evidence()
+                || !report.holders.is_empty()
                 || self.router.refutes_proof(now);
             if is_relevant || !self.installed_peer_loads.is_empty() || self.last_report_relevant {
                 self.last_report_relevant = is_relevant;
--- a/crates/mustardgrade-standin/src/fleet/tests/mod.rs
+++ b/crates/mustardgrade-standin/src/fleet/tests/mod.rs
@@ -85,6 +85,7 @@
             entries: Vec::new(),
             speeds: Vec::new(),
             outcomes: Vec::new(),
+            holders: Vec::new(),
         };
         self.handle_controller_input(host, WatchInput::LocalLoad(load_report));
     }
--- a/crates/mustardgrade-wire/src/peer/tests.rs
+++ b/crates/mustardgrade-wire/src/peer/tests.rs
@@ -2,7 +2,10 @@
 
 use std::net::Ipv4Addr;
 
-use mustardgrade_core::cookie::{FlowCookie, LoadEntry, LoadReport, OutcomeEntry, SpeedEntry};
+use mustardgrade_core::cookie::{
+    FlowCookie, FlowHolder, LoadEntry, LoadReport, OutcomeEntry, SpeedEntry,
+};
+use mustardgrade_core::flow::FlowKey;
 use mustardgrade_core::identity::{HostId, HostIncarnation};
 use mustardgrade_core::watch::FleetMessage;
 use proptest::prelude::*;
@@ -70,6 +73,20 @@
     }
 }
 
+/// Guards against messages about holders that exceed a datagram.
+#[test]
+fn message_with_the_most_holders_fits_in_one_datagram() {
+    let socket = "255.255.255.255:65535".parse().expect("valid socket address");
+    let holder = FlowHolder {
+        key: FlowKey { caller: socket, service: socket },
+        cookie: FlowCookie(u32::MAX),
+        sequence: u32::MAX,
+        acknowledgement: u32::MAX,
+    };
+    let message = FleetMessage::Holders(vec![holder; 32]);
+    assert!(sealer("the first secret").seal(&PeerMessage::Fleet(message), &[]).len() <= 2_048);
+}
+
 proptest! {
     #[test]
     fn replay_window_accepts_each_sequence_number_once(
