--- a/crates/mustardgrade-core/src/cookie/holders/flow_holder.rs
+++ b/crates/mustardgrade-core/src/cookie/holders/flow_holder.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::cookie::flow_cookie::FlowCookie;
-use crate::cookie::observed_flows::MAX_SEQUENCE_ADVANCE;
+use crate::cookie::observed_flows::may_share_flow;
 use crate::flow::{FlowKey, FlowPacket};
 
 /// `FlowHolder` names the upstream that a caller has accepted for a flow.
@@ -32,11 +32,8 @@
     /// by its sequence numbers.
     #[must_use]
     pub fn includes(&self, packet: &FlowPacket) -> bool {
-        let is_near = |number: u32, start: u32| {
-            (number.wrapping_sub(start) as i32).unsigned_abs() < MAX_SEQUENCE_ADVANCE
-        };
         packet.key == self.key
-            && is_near(packet.sequence, self.sequence)
-            && is_near(packet.acknowledgement, self.acknowledgement)
+            && may_share_flow(packet.sequence, self.sequence)
+            && may_share_flow(packet.acknowledgement, self.acknowledgement)
     }
 }
--- a/crates/mustardgrade-core/src/cookie/observed_flows.rs
+++ b/crates/mustardgrade-core/src/cookie/observed_flows.rs
@@ -12,7 +12,13 @@
 
 /// Distance up to which sequence numbers are taken for those of one flow, since each flow begins at
 /// a random one.
-pub(super) const MAX_SEQUENCE_ADVANCE: u32 = 1 << 20;
+const MAX_SEQUENCE_ADVANCE: u32 = 1 << 20;
+
+/// Returns whether two sequence numbers may belong to one flow, whichever is the later one.
+#[must_use]
+pub(super) fn may_share_flow(sequence: u32, other: u32) -> bool {
+    (sequence.wrapping_sub(other) as i32).unsigned_abs() < MAX_SEQUENCE_ADVANCE
+}
 
 /// `FlowStage` is the connection state of a flow, inferred from the caller's packets.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -154,8 +160,7 @@
     /// Returns whether a packet is part of this flow, by the sequence numbers of both.
     #[must_use]
     pub(super) fn includes(&self, packet: &FlowPacket) -> bool {
-        let distance = packet.sequence.wrapping_sub(self.next_sequence) as i32;
-        distance.unsigned_abs() < MAX_SEQUENCE_ADVANCE
+        may_share_flow(packet.sequence, self.next_sequence)
     }
 
     /// Returns whether a packet is the caller's acknowledgement of this flow's opening, by which it
@@ -174,10 +179,8 @@
     /// acknowledges what that upstream has sent, by its sequence numbers.
     #[must_use]
     pub(super) fn is_held_for(&self, packet: &FlowPacket) -> bool {
-        // Packets may overtake each other.
-        let distance = packet.acknowledgement.wrapping_sub(self.last_acknowledgement) as i32;
         self.holder_evidence > HolderEvidence::Cookie
-            && distance.unsigned_abs() < MAX_SEQUENCE_ADVANCE
+            && may_share_flow(packet.acknowledgement, self.last_acknowledgement)
             && self.includes(packet)
     }
 }
