--- a/review/standin-3/src/endpoint.rs
+++ b/review/standin-3/src/endpoint.rs
@@ -50,6 +50,7 @@
     pub id: String,
     pub address: SocketAddrV4,
     pub zone: String,
+    pub service: String,
     pub work: Duration,
     /// Port at which requesters take packets.
     pub requester_port: u16,
@@ -71,6 +72,8 @@
 pub struct Control {
     /// While set, the endpoint is down: it takes nothing and has lost its flows.
     pub down: AtomicBool,
+    /// While set, no packet of the hosts reaches the endpoint.
+    pub cut: AtomicBool,
     /// Until when it is cold.
     pub cold_until: Mutex<Option<Instant>>,
 }
@@ -137,7 +140,8 @@
             }
             if let Ok((length, from)) = runner.socket.recv_from(&mut buffer) {
                 let bytes = &buffer[..length];
-                if length < 8 || runner.links.loses() {
+                let is_cut = runner.control.cut.load(Ordering::Relaxed);
+                if length < 8 || is_cut || runner.links.loses() {
                     continue;
                 }
                 let meant_for = u64::from_be_bytes(bytes[..8].try_into().unwrap());
--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -4,6 +4,7 @@
 mod endpoint;
 mod hosts;
 mod moved_flow;
+mod moved_route;
 mod record;
 mod requester;
 mod rig;
@@ -29,6 +30,7 @@
     };
     let outcome = match case.as_str() {
         "moved-flow" => moved_flow::play(&run),
+        "moved-route" => moved_route::play(&run),
         "cold-return" => cold_return::play(&run),
         _ => Err(format!("no case {case}").into()),
     };
--- a/review/standin-3/src/requester.rs
+++ b/review/standin-3/src/requester.rs
@@ -109,8 +109,17 @@
     let (sender, receiver) = channel();
     let zone = zone.to_owned();
     std::thread::spawn(move || {
-        let mut runner =
-            Runner { address, socket, zone, hosts, links, record, sender, flows: HashMap::new() };
+        let mut runner = Runner {
+            address,
+            socket,
+            zone,
+            hosts,
+            links,
+            record,
+            sender,
+            flows: HashMap::new(),
+            openings: 0,
+        };
         runner.run(plans, &stop);
     });
     Ok(receiver)
@@ -125,6 +134,7 @@
     record: Record,
     sender: Sender<Seen>,
     flows: HashMap<FlowKey, Flow>,
+    openings: u32,
 }
 
 impl Runner {
@@ -154,7 +164,8 @@
             route: plan.route,
             route_port: plan.route_port,
         };
-        let isn = u32::from(plan.port).wrapping_mul(0x85eb_ca6b) ^ 0x1234_5678;
+        self.openings += 1;
+        let isn = self.openings.wrapping_mul(0x85eb_ca6b) ^ 0x1234_5678;
         let flow = Flow {
             key,
             plan,
--- a/review/standin-3/src/rig.rs
+++ b/review/standin-3/src/rig.rs
@@ -17,6 +17,8 @@
 /// Requests a second that a cold endpoint bears, by the manifest.
 pub const COLD_PER_S: f64 = 5.0;
 pub const SERVICE: &str = "rounds-desk";
+/// A second service, which takes over the route where a case says so.
+pub const SUCCESSOR: &str = "rounds-desk-new";
 pub const ROUTE: (Ipv4Addr, u16) = (Ipv4Addr::new(198, 18, 0, 1), 443);
 
 /// How a case is run.
@@ -56,7 +58,7 @@
         for zone in 1..=3 {
             addresses.extend((1..=8).map(|n| loopback(network, zone, n)));
             addresses.extend((0..endpoints_per_zone).map(|n| loopback(network, zone, 101 + n)));
-            addresses.push(loopback(network, zone, 200));
+            addresses.extend([151, 152, 200].map(|n| loopback(network, zone, n)));
         }
         let ports = Ports::find(&addresses).ok_or("no free ports")?;
         let store_address = SocketAddr::from((addresses[0], ports.store));
@@ -74,10 +76,10 @@
             stop,
             born,
         };
-        rig.write_manifest(2);
+        rig.write_manifest(2, Some(SERVICE));
         for (zone_number, zone) in (1..).zip(ZONES) {
             for number in 0..endpoints_per_zone {
-                rig.start_endpoint(zone_number, zone, number)?;
+                rig.start_endpoint(zone_number, zone, number, SERVICE)?;
             }
         }
         let seeds = (1..=3).map(|zone| loopback(network, zone, 1)).collect::<Vec<_>>();
@@ -101,21 +103,53 @@
         Ok(rig)
     }
 
-    pub fn write_manifest(&self, version: u64) {
+    /// Starts endpoints of the second service, two in each zone.
+    pub fn start_successor(&mut self) -> std::io::Result<()> {
+        for (zone_number, zone) in (1..).zip(ZONES) {
+            for number in [50, 51] {
+                self.start_endpoint(zone_number, zone, number, SUCCESSOR)?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Writes a manifest whose route leads to `service`, if there is one; returns when it was
+    /// confirmed.
+    pub fn write_manifest(&self, version: u64, service: Option<&str>) -> Instant {
+        let config = |name: &str| {
+            format!(
+                "{{\"name\":\"{name}\",\"healthPath\":\"/health\",\"maxConns\":4333,\"protocol\":\"h1\",\
+                 \"tls\":false,\"coldStartS\":2.0,\"coldPerS\":{COLD_PER_S:.1}}}"
+            )
+        };
+        let services = format!("{},{}", config(SERVICE), config(SUCCESSOR));
+        let route = service.map_or_else(String::new, |service| {
+            format!(
+                "{{\"name\":\"motion-feed\",\"host\":\"{}\",\"prefix\":\"/{}/\",\"routeType\":\"safe\",\
+                 \"timeoutMs\":2500,\"targetLatencyMs\":250,\"priority\":2,\"service\":\"{service}\",\
+                 \"attempts\":2}}",
+                ROUTE.0, ROUTE.1
+            )
+        });
         let manifest = format!(
-            "{{\"version\":{version},\"routes\":[{{\"name\":\"motion-feed\",\"host\":\"{}\",\"prefix\":\"/{}/\",\
-             \"routeType\":\"safe\",\"timeoutMs\":2500,\"targetLatencyMs\":250,\"priority\":2,\
-             \"service\":\"{SERVICE}\",\"attempts\":2}}],\"services\":[{{\"name\":\"{SERVICE}\",\
-             \"healthPath\":\"/health\",\"maxConns\":4333,\"protocol\":\"h1\",\"tls\":false,\
-             \"coldStartS\":2.0,\"coldPerS\":{COLD_PER_S:.1}}}],\"limits\":{{\"maxHeaderBytes\":16384,\
-             \"maxBodyBytes\":262144,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}}}",
-            ROUTE.0, ROUTE.1
+            "{{\"version\":{version},\"routes\":[{route}],\"services\":[{services}],\
+             \"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,\
+             \"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}}}"
         );
         let revision = self.store.put("op/config", manifest.as_bytes());
-        self.record.line(&format!("manifest {version} confirmed, revision {revision}"));
+        self.record.line(&format!(
+            "manifest {version} confirmed, route to {service:?}, revision {revision}"
+        ));
+        Instant::now()
     }
 
-    fn start_endpoint(&mut self, zone_number: u8, zone: &str, number: u8) -> std::io::Result<()> {
+    fn start_endpoint(
+        &mut self,
+        zone_number: u8,
+        zone: &str,
+        number: u8,
+        service: &str,
+    ) -> std::io::Result<()> {
         let address = SocketAddrV4::new(
             loopback(self.network, zone_number, 101 + number),
             self.ports.endpoint,
@@ -124,10 +158,11 @@
             id: format!("i-{:02x}{zone_number:x}{number:02x}e5f7a1", self.network),
             address,
             zone: zone.to_owned(),
+            service: service.to_owned(),
             work: Duration::from_millis(55),
             requester_port: self.ports.packet,
         };
-        let entry = endpoint::entry(SERVICE, address, zone, "ready", self.born, 1, 0);
+        let entry = endpoint::entry(service, address, zone, "ready", self.born, 1, 0);
         self.store.put(&format!("servers/{}", settings.id), entry.as_bytes());
         let (links, record) = (Arc::clone(&self.links), self.record.clone());
         self.endpoints.push(endpoint::start(settings, links, record, Arc::clone(&self.stop))?);
