--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -3,6 +3,7 @@
 mod cold_return;
 mod endpoint;
 mod hosts;
+mod left_zone;
 mod moved_flow;
 mod moved_route;
 mod record;
@@ -31,6 +32,7 @@
     let outcome = match case.as_str() {
         "moved-flow" => moved_flow::play(&run),
         "moved-route" => moved_route::play(&run),
+        "left-zone" => left_zone::play(&run),
         "cold-return" => cold_return::play(&run),
         _ => Err(format!("no case {case}").into()),
     };
--- a/review/standin-3/src/rig.rs
+++ b/review/standin-3/src/rig.rs
@@ -51,13 +51,22 @@
         run: &Run,
         endpoints_per_zone: u8,
         hosts_by_zone: &[u8; 3],
+    ) -> Result<Self, Box<dyn std::error::Error>> {
+        Self::start_with(run, &[endpoints_per_zone; 3], hosts_by_zone)
+    }
+
+    /// The same with a number of endpoints for each zone.
+    pub fn start_with(
+        run: &Run,
+        endpoints_by_zone: &[u8; 3],
+        hosts_by_zone: &[u8; 3],
     ) -> Result<Self, Box<dyn std::error::Error>> {
         let record = Record::create(&run.record)?;
         let network = 64 + (std::process::id() % 128) as u8;
         let mut addresses = vec![loopback(network, 0, 7)];
         for zone in 1..=3 {
             addresses.extend((1..=8).map(|n| loopback(network, zone, n)));
-            addresses.extend((0..endpoints_per_zone).map(|n| loopback(network, zone, 101 + n)));
+            addresses.extend((0..10).map(|n| loopback(network, zone, 101 + n)));
             addresses.extend([151, 152, 200].map(|n| loopback(network, zone, n)));
         }
         let ports = Ports::find(&addresses).ok_or("no free ports")?;
@@ -78,7 +87,7 @@
         };
         rig.write_manifest(2, Some(SERVICE));
         for (zone_number, zone) in (1..).zip(ZONES) {
-            for number in 0..endpoints_per_zone {
+            for number in 0..endpoints_by_zone[usize::from(zone_number) - 1] {
                 rig.start_endpoint(zone_number, zone, number, SERVICE)?;
             }
         }
