--- a/review/standin-3/src/cold_return.rs
+++ b/review/standin-3/src/cold_return.rs
@@ -1,6 +1,6 @@
 //! Endpoints of a zone come back cold, under their ids, while the platform's store is down.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
@@ -60,6 +60,7 @@
     let back_at = Instant::now();
     for endpoint in of_zone() {
         *endpoint.control.cold_until.lock().unwrap() = Some(back_at + COLD_FOR);
+        *endpoint.control.bears.lock().unwrap() = Some(COLD_PER_S * COLD_OVER + COLD_SLACK);
         endpoint.control.down.store(false, Ordering::Relaxed);
     }
     rig.record.line(&format!("endpoints of {} are back under their ids, cold", ZONES[0]));
@@ -82,17 +83,21 @@
     std::thread::sleep(TRAFFIC_FOR.saturating_sub(CALM_FOR + began.elapsed()));
     std::thread::sleep(Duration::from_secs(2));
     let mut asked: HashMap<FlowKey, Instant> = HashMap::new();
+    let mut answered: HashSet<FlowKey> = HashSet::new();
     let (mut answers, mut failed) = (0, 0);
     for event in seen.try_iter() {
         match event {
             Seen::Asked { key, at } => drop(asked.insert(key, at)),
-            Seen::Answer { .. } => answers += 1,
+            Seen::Answer { key, .. } => {
+                answers += 1;
+                answered.insert(key);
+            }
             Seen::NotOpened { .. } | Seen::GaveUp { .. } | Seen::Reset { .. } => failed += 1,
             Seen::Opened { .. } | Seen::NotGenuine { .. } => {}
         }
     }
     let limit = COLD_PER_S * COLD_OVER + COLD_SLACK;
-    let mut broken = 0;
+    let (mut broken, mut lost) = (0, 0);
     for endpoint in of_zone() {
         let held = endpoint.held.lock().unwrap();
         let mut taken: Vec<(Instant, Instant)> = held
@@ -106,16 +111,22 @@
             let until = from + Duration::from_secs(1);
             taken.iter().filter(|(sent, arrived)| *sent >= from && *arrived < until).count()
         };
+        // Requests that it had begun to run and that nobody answered.
+        let unanswered = |(key, _): &&(FlowKey, Vec<u8>)| !answered.contains(key);
+        lost += held.runs.keys().filter(unanswered).count();
         let most = taken.iter().map(|(sent, _)| in_second(*sent)).max().unwrap_or(0);
         broken += u32::from(most as f64 > limit);
         rig.record.say(&format!(
-            "endpoint {} took {} openings while cold, {most} in one second; {limit} are the most",
+            "endpoint {} took {} openings while cold, {most} in one second; {limit} are the most; \
+             fell over {} times",
             endpoint.settings.id,
-            taken.len()
+            taken.len(),
+            held.falls.len()
         ));
     }
     rig.record.say(&format!(
-        "asked {}, answers {answers}, failed {failed}, FAILBACK broken at {broken} endpoints",
+        "asked {}, answers {answers}, failed {failed}, requests run and never answered {lost}, \
+         FAILBACK broken at {broken} endpoints",
         asked.len()
     ));
     match answers {
--- a/review/standin-3/src/endpoint.rs
+++ b/review/standin-3/src/endpoint.rs
@@ -50,7 +50,6 @@
     pub id: String,
     pub address: SocketAddrV4,
     pub zone: String,
-    pub service: String,
     pub work: Duration,
     /// Port at which requesters take packets.
     pub requester_port: u16,
@@ -65,6 +64,8 @@
     pub runs: HashMap<(FlowKey, Vec<u8>), u32>,
     /// Openings that were taken, each flow once, and whether the endpoint was cold then.
     pub taken: Vec<(FlowKey, Instant, bool)>,
+    /// Times at which it fell over, with the requests that it was running.
+    pub falls: Vec<(Instant, usize)>,
 }
 
 /// What the operator of an endpoint does with it.
@@ -72,10 +73,10 @@
 pub struct Control {
     /// While set, the endpoint is down: it takes nothing and has lost its flows.
     pub down: AtomicBool,
-    /// While set, no packet of the hosts reaches the endpoint.
-    pub cut: AtomicBool,
     /// Until when it is cold.
     pub cold_until: Mutex<Option<Instant>>,
+    /// Openings in one second beyond which the endpoint falls over while it is cold.
+    pub bears: Mutex<Option<f64>>,
 }
 
 impl Control {
@@ -128,11 +129,13 @@
         control,
         flows: HashMap::new(),
         iss: tag as u32,
+        fallen_until: None,
     };
     std::thread::spawn(move || {
         let mut buffer = [0; 2_048];
         while !stop.load(Ordering::Relaxed) {
-            if runner.control.down.load(Ordering::Relaxed) {
+            let is_fallen = runner.fallen_until.is_some_and(|until| Instant::now() < until);
+            if is_fallen || runner.control.down.load(Ordering::Relaxed) {
                 runner.flows.clear();
                 runner.held.lock().unwrap().open.clear();
                 let _lost = runner.socket.recv_from(&mut buffer);
@@ -140,8 +143,7 @@
             }
             if let Ok((length, from)) = runner.socket.recv_from(&mut buffer) {
                 let bytes = &buffer[..length];
-                let is_cut = runner.control.cut.load(Ordering::Relaxed);
-                if length < 8 || is_cut || runner.links.loses() {
+                if length < 8 || runner.links.loses() {
                     continue;
                 }
                 let meant_for = u64::from_be_bytes(bytes[..8].try_into().unwrap());
@@ -173,6 +175,7 @@
     control: Arc<Control>,
     flows: HashMap<FlowKey, Flow>,
     iss: u32,
+    fallen_until: Option<Instant>,
 }
 
 impl Runner {
@@ -260,6 +263,9 @@
             self.flows.insert(key, flow);
             let is_cold = self.control.is_cold();
             self.held.lock().unwrap().taken.push((key, Instant::now(), is_cold));
+            if is_cold && self.falls_over() {
+                return;
+            }
         }
         let flow = self.flows.get_mut(&key).unwrap();
         if flow.open {
@@ -281,6 +287,29 @@
         self.send(&answer);
     }
 
+    /// Returns whether the endpoint has got more than it bears; it then loses its flows, and is
+    /// down for a second.
+    fn falls_over(&mut self) -> bool {
+        let Some(bears) = *self.control.bears.lock().unwrap() else { return false };
+        let now = Instant::now();
+        let mut held = self.held.lock().unwrap();
+        let is_recent = |at: &Instant| now - *at < Duration::from_secs(1);
+        let recent = held.taken.iter().rev().take_while(|(_, at, _)| is_recent(at)).count();
+        if recent as f64 <= bears {
+            return false;
+        }
+        let running = self.flows.values().map(|flow| flow.ready.len()).sum();
+        held.falls.push((now, running));
+        held.open.clear();
+        self.flows.clear();
+        self.fallen_until = Some(now + Duration::from_secs(1));
+        self.record.line(&format!(
+            "endpoint {} got {recent} openings in a second while cold and falls over; it was running {running} requests",
+            self.settings.id
+        ));
+        true
+    }
+
     /// Resets a flow that this endpoint does not hold.
     fn refuse(&mut self, key: FlowKey, packet: &Packet, from: SocketAddr) {
         if packet.flags & RST != 0 {
--- a/review/standin-3/src/hosts.rs
+++ b/review/standin-3/src/hosts.rs
@@ -14,7 +14,7 @@
 use crate::record::Record;
 use crate::wire::FlowKey;
 
-pub const SIGKILL: i32 = 9;
+pub const SIGHUP: i32 = 1;
 pub const SIGTERM: i32 = 15;
 pub const SIGCONT: i32 = 18;
 pub const SIGSTOP: i32 = 19;
@@ -136,13 +136,23 @@
     }
 
     pub fn signal(&self, signal: i32) {
-        if let Some(child) = self.child.lock().unwrap().as_ref() {
-            // The process is a child that has not been waited for, so its number is still its own.
-            unsafe { kill(child.id() as i32, signal) };
+        if self.signal_quietly(signal) {
             self.record.line(&format!("host {} gets signal {signal}", self.settings.name));
         }
     }
 
+    /// The same without a line in the record; returns whether there was a process.
+    pub fn signal_quietly(&self, signal: i32) -> bool {
+        let mut child = self.child.lock().unwrap();
+        let Some(child) = child.as_mut() else { return false };
+        // The number of a child that has not ended, or was not waited for, is still its own.
+        let is_running = matches!(child.try_wait(), Ok(None));
+        if is_running {
+            unsafe { kill(child.id() as i32, signal) };
+        }
+        is_running
+    }
+
     /// Waits for the process to end, and kills it at the end of the grace period.
     pub fn wait_ended(&self, grace: Duration) -> Option<i32> {
         let deadline = Instant::now() + grace;
--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -1,14 +1,14 @@
 //! Stand-ins of the users' platform, and the cases that are played with them.
 
 mod cold_return;
+mod early_hangup;
 mod endpoint;
 mod hosts;
-mod left_zone;
 mod moved_flow;
-mod moved_route;
 mod record;
 mod requester;
 mod rig;
+mod silent_store;
 mod store;
 mod wire;
 
@@ -30,9 +30,10 @@
         trouble: trouble != "0",
     };
     let outcome = match case.as_str() {
-        "moved-flow" => moved_flow::play(&run),
-        "moved-route" => moved_route::play(&run),
-        "left-zone" => left_zone::play(&run),
+        "moved-flow" => moved_flow::play(&run, moved_flow::Work::Restart),
+        "emptied-zone" => moved_flow::play(&run, moved_flow::Work::Remove),
+        "silent-store" => silent_store::play(&run),
+        "early-hangup" => early_hangup::play(&run),
         "cold-return" => cold_return::play(&run),
         _ => Err(format!("no case {case}").into()),
     };
--- a/review/standin-3/src/moved_flow.rs
+++ b/review/standin-3/src/moved_flow.rs
@@ -1,4 +1,4 @@
-//! Flows whose opening two endpoints have answered, while the hosts are restarted in turn.
+//! Flows whose opening two endpoints have answered, and which move to other hosts during a pause.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -8,12 +8,11 @@
 use std::time::{Duration, Instant};
 
 use crate::endpoint::{loopback, short};
+use crate::hosts::SIGTERM;
 use crate::requester::{self, FlowPlan, Seen};
 use crate::rig::{Outcome, ROUTE, Rig, Run, ZONES};
 use crate::wire::FlowKey;
 
-/// Flows that are opened, evenly over the time in which the links lose packets.
-const FLOWS: u16 = 220;
 /// Longest time and largest share of `lossy` in the site file of munadhara-edge.
 const LOSSY_FOR: Duration = Duration::from_millis(5_500);
 const LOSES_ONE_IN: u64 = 40;
@@ -23,26 +22,40 @@
 const ROLL_GAP: Duration = Duration::from_millis(1_300);
 const STABILITY_WINDOW: Duration = Duration::from_secs(4);
 
-pub fn play(run: &Run) -> Outcome {
-    let rig = Rig::start(run, 5, &[4, 1, 1])?;
+/// Planned work on the hosts of the requesters' zone, after the loss has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Work {
+    /// They are stopped and started again in turn.
+    Restart,
+    /// They leave in turn for good, so that the routers use the hosts of the other zones.
+    Remove,
+}
+
+pub fn play(run: &Run, work: Work) -> Outcome {
+    // Flows that are opened, evenly over the time in which the links lose packets.
+    let (own, hosts, endpoints, flows) = match work {
+        Work::Restart => (0, [4, 1, 1], 5, 220_u16),
+        Work::Remove => (1, [3, 2, 3], 6, 400),
+    };
+    let rig = Rig::start(run, endpoints, &hosts)?;
     // The zone of the requesters is evacuated, so their flows go to the other zones.
-    rig.store.put(&format!("op/evacuate/{}", ZONES[0]), b"{}");
-    rig.record.line(&format!("evacuation of {} confirmed", ZONES[0]));
+    rig.store.put(&format!("op/evacuate/{}", ZONES[own]), b"{}");
+    rig.record.line(&format!("evacuation of {} confirmed", ZONES[own]));
     std::thread::sleep(Duration::from_secs(6));
-    let plans = (0..FLOWS).map(|number| FlowPlan {
+    let plans = (0..flows).map(|number| FlowPlan {
         port: 1_024 + number,
         route: ROUTE.0,
         route_port: ROUTE.1,
         open_at: Duration::from_millis(200)
-            + LOSSY_FOR.mul_f64(0.95) * u32::from(number) / u32::from(FLOWS),
+            + LOSSY_FOR.mul_f64(0.95) * u32::from(number) / u32::from(flows),
         requests: vec![Duration::from_millis(30), PAUSE],
         budget: Duration::from_millis(2_500),
         closes: false,
     });
     let seen = requester::start(
-        loopback(rig.network, 1, 200),
+        loopback(rig.network, own as u8 + 1, 200),
         rig.ports.packet,
-        ZONES[0],
+        ZONES[own],
         rig.hosts.clone(),
         plans.collect(),
         rig.links.clone(),
@@ -52,23 +65,28 @@
     rig.links.every.store(LOSES_ONE_IN, Ordering::Relaxed);
     rig.links.on.store(run.trouble, Ordering::Relaxed);
     let began = Instant::now();
-    rig.record.line(&format!("links of {} lose packets: {}", ZONES[0], run.trouble));
+    rig.record.line(&format!("links of {} lose packets: {}", ZONES[own], run.trouble));
     std::thread::sleep(LOSSY_FOR);
     rig.links.on.store(false, Ordering::Relaxed);
     let lossy_until = Instant::now();
     let (passed, lost) = rig.links.counts();
     rig.record.say(&format!("links lost {lost} of {passed} packets between zones in 5.5 s"));
-    // Planned work: the hosts of the zone are stopped and started in turn.
-    let mut restarts = Vec::new();
-    for host in rig.hosts.iter().filter(|host| host.settings.zone == ZONES[0]) {
+    let mut stops = Vec::new();
+    for host in rig.hosts.iter().filter(|host| host.settings.zone == ZONES[own]) {
         let host = Arc::clone(host);
-        restarts.push(std::thread::spawn(move || Rig::roll(&host).is_ok()));
+        stops.push(std::thread::spawn(move || match work {
+            Work::Restart => Rig::roll(&host).is_ok(),
+            Work::Remove => {
+                host.signal(SIGTERM);
+                host.wait_ended(Duration::from_secs(6)).is_some()
+            }
+        }));
         std::thread::sleep(ROLL_GAP);
     }
-    if !restarts.into_iter().all(|restart| restart.join().unwrap_or(false)) {
-        return Err("a host did not start again".into());
+    if !stops.into_iter().all(|stop| stop.join().unwrap_or(false)) {
+        return Err("a host did not stop or start".into());
     }
-    rig.record.line("all hosts of the zone have been restarted");
+    rig.record.line(&format!("{work:?}: all hosts of {}", ZONES[own]));
     let last = began + LOSSY_FOR + PAUSE + Duration::from_secs(4);
     std::thread::sleep(last.saturating_duration_since(Instant::now()));
     judge(&rig, &seen, lossy_until)
--- a/review/standin-3/src/rig.rs
+++ b/review/standin-3/src/rig.rs
@@ -17,8 +17,6 @@
 /// Requests a second that a cold endpoint bears, by the manifest.
 pub const COLD_PER_S: f64 = 5.0;
 pub const SERVICE: &str = "rounds-desk";
-/// A second service, which takes over the route where a case says so.
-pub const SUCCESSOR: &str = "rounds-desk-new";
 pub const ROUTE: (Ipv4Addr, u16) = (Ipv4Addr::new(198, 18, 0, 1), 443);
 
 /// How a case is run.
@@ -67,7 +65,7 @@
         for zone in 1..=3 {
             addresses.extend((1..=8).map(|n| loopback(network, zone, n)));
             addresses.extend((0..10).map(|n| loopback(network, zone, 101 + n)));
-            addresses.extend([151, 152, 200].map(|n| loopback(network, zone, n)));
+            addresses.extend([200].map(|n| loopback(network, zone, n)));
         }
         let ports = Ports::find(&addresses).ok_or("no free ports")?;
         let store_address = SocketAddr::from((addresses[0], ports.store));
@@ -85,10 +83,10 @@
             stop,
             born,
         };
-        rig.write_manifest(2, Some(SERVICE));
+        rig.write_manifest(2, 0);
         for (zone_number, zone) in (1..).zip(ZONES) {
             for number in 0..endpoints_by_zone[usize::from(zone_number) - 1] {
-                rig.start_endpoint(zone_number, zone, number, SERVICE)?;
+                rig.start_endpoint(zone_number, zone, number)?;
             }
         }
         let seeds = (1..=3).map(|zone| loopback(network, zone, 1)).collect::<Vec<_>>();
@@ -112,53 +110,33 @@
         Ok(rig)
     }
 
-    /// Starts endpoints of the second service, two in each zone.
-    pub fn start_successor(&mut self) -> std::io::Result<()> {
-        for (zone_number, zone) in (1..).zip(ZONES) {
-            for number in [50, 51] {
-                self.start_endpoint(zone_number, zone, number, SUCCESSOR)?;
-            }
-        }
-        Ok(())
-    }
-
-    /// Writes a manifest whose route leads to `service`, if there is one; returns when it was
-    /// confirmed.
-    pub fn write_manifest(&self, version: u64, service: Option<&str>) -> Instant {
-        let config = |name: &str| {
+    /// Writes a manifest with the route of the requesters and `further` routes without traffic;
+    /// returns when it was confirmed.
+    pub fn write_manifest(&self, version: u64, further: u64) -> Instant {
+        let route = |name: &str, port: u64| {
             format!(
-                "{{\"name\":\"{name}\",\"healthPath\":\"/health\",\"maxConns\":4333,\"protocol\":\"h1\",\
-                 \"tls\":false,\"coldStartS\":2.0,\"coldPerS\":{COLD_PER_S:.1}}}"
-            )
-        };
-        let services = format!("{},{}", config(SERVICE), config(SUCCESSOR));
-        let route = service.map_or_else(String::new, |service| {
-            format!(
-                "{{\"name\":\"motion-feed\",\"host\":\"{}\",\"prefix\":\"/{}/\",\"routeType\":\"safe\",\
-                 \"timeoutMs\":2500,\"targetLatencyMs\":250,\"priority\":2,\"service\":\"{service}\",\
+                "{{\"name\":\"{name}\",\"host\":\"{}\",\"prefix\":\"/{port}/\",\"routeType\":\"safe\",\
+                 \"timeoutMs\":2500,\"targetLatencyMs\":250,\"priority\":2,\"service\":\"{SERVICE}\",\
                  \"attempts\":2}}",
-                ROUTE.0, ROUTE.1
+                ROUTE.0
             )
-        });
+        };
+        let mut routes = vec![route("motion-feed", u64::from(ROUTE.1))];
+        routes
+            .extend((0..further).map(|number| route(&format!("further-{number}"), 8_000 + number)));
         let manifest = format!(
-            "{{\"version\":{version},\"routes\":[{route}],\"services\":[{services}],\
-             \"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,\
-             \"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}}}"
+            "{{\"version\":{version},\"routes\":[{}],\"services\":[{{\"name\":\"{SERVICE}\",\
+             \"healthPath\":\"/health\",\"maxConns\":4333,\"protocol\":\"h1\",\"tls\":false,\
+             \"coldStartS\":2.0,\"coldPerS\":{COLD_PER_S:.1}}}],\"limits\":{{\"maxHeaderBytes\":16384,\
+             \"maxBodyBytes\":262144,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}}}",
+            routes.join(",")
         );
         let revision = self.store.put("op/config", manifest.as_bytes());
-        self.record.line(&format!(
-            "manifest {version} confirmed, route to {service:?}, revision {revision}"
-        ));
+        self.record.line(&format!("manifest {version} confirmed, revision {revision}"));
         Instant::now()
     }
 
-    fn start_endpoint(
-        &mut self,
-        zone_number: u8,
-        zone: &str,
-        number: u8,
-        service: &str,
-    ) -> std::io::Result<()> {
+    fn start_endpoint(&mut self, zone_number: u8, zone: &str, number: u8) -> std::io::Result<()> {
         let address = SocketAddrV4::new(
             loopback(self.network, zone_number, 101 + number),
             self.ports.endpoint,
@@ -167,11 +145,10 @@
             id: format!("i-{:02x}{zone_number:x}{number:02x}e5f7a1", self.network),
             address,
             zone: zone.to_owned(),
-            service: service.to_owned(),
             work: Duration::from_millis(55),
             requester_port: self.ports.packet,
         };
-        let entry = endpoint::entry(service, address, zone, "ready", self.born, 1, 0);
+        let entry = endpoint::entry(SERVICE, address, zone, "ready", self.born, 1, 0);
         self.store.put(&format!("servers/{}", settings.id), entry.as_bytes());
         let (links, record) = (Arc::clone(&self.links), self.record.clone());
         self.endpoints.push(endpoint::start(settings, links, record, Arc::clone(&self.stop))?);
--- a/review/standin-3/src/store.rs
+++ b/review/standin-3/src/store.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -29,6 +29,12 @@
     pub address: SocketAddr,
     /// While set, the store answers nothing.
     pub down: Arc<AtomicBool>,
+    /// Connections opened before this count of silences have gone silent for good.
+    silences: Arc<AtomicU64>,
+    /// Number of conditional writes that were done.
+    pub writes: Arc<AtomicU64>,
+    /// When the last watch began.
+    pub watch_began: Arc<Mutex<Option<Instant>>>,
     content: Arc<(Mutex<Content>, Condvar)>,
 }
 
@@ -36,7 +42,14 @@
     pub fn start(address: SocketAddr) -> std::io::Result<Self> {
         let listener = TcpListener::bind(address)?;
         let content: Arc<(Mutex<Content>, Condvar)> = Arc::default();
-        let store = Self { address, down: Arc::default(), content };
+        let store = Self {
+            address,
+            down: Arc::default(),
+            silences: Arc::default(),
+            writes: Arc::default(),
+            watch_began: Arc::default(),
+            content,
+        };
         let served = store.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -49,6 +62,11 @@
         Ok(store)
     }
 
+    /// Lets all connections that are open now go silent for good; new ones work.
+    pub fn silence_connections(&self) {
+        self.silences.fetch_add(1, Ordering::SeqCst);
+    }
+
     /// Writes a key; returns the revision, which confirms it.
     pub fn put(&self, key: &str, value: &[u8]) -> u64 {
         let mut content = self.content.0.lock().unwrap();
@@ -71,6 +89,8 @@
         stream.set_nodelay(true)?;
         let mut reader = BufReader::new(stream.try_clone()?);
         let mut stream = stream;
+        let opened_after = self.silences.load(Ordering::SeqCst);
+        let is_silent = || self.silences.load(Ordering::SeqCst) > opened_after;
         loop {
             let mut line = String::new();
             if reader.read_line(&mut line)? == 0 {
@@ -98,6 +118,9 @@
             }
             let mut body = vec![0; length];
             reader.read_exact(&mut body)?;
+            while is_silent() {
+                std::thread::sleep(Duration::from_secs(1));
+            }
             while self.down.load(Ordering::Relaxed) {
                 std::thread::sleep(Duration::from_millis(20));
                 if !self.down.load(Ordering::Relaxed) {
@@ -107,6 +130,9 @@
             // An answer of the store takes 4 ms.
             std::thread::sleep(Duration::from_millis(4));
             let (status, answer) = self.answer(&method, &target, &body);
+            while is_silent() {
+                std::thread::sleep(Duration::from_secs(1));
+            }
             if self.down.load(Ordering::Relaxed) {
                 // A connection on which a response is lost returns nothing further.
                 while self.down.load(Ordering::Relaxed) {
@@ -138,6 +164,7 @@
                 (200, self.range(&prefix, &field("after").unwrap_or_default()))
             }
             ("GET", "/-/kv-watch") => {
+                *self.watch_began.lock().unwrap() = Some(Instant::now());
                 let number =
                     |name: &str| field(name).and_then(|text| text.parse().ok()).unwrap_or(0);
                 (200, self.watch(&prefix, number("after"), Duration::from_millis(number("waitMs"))))
@@ -224,6 +251,7 @@
             return (412, format!("{{\"items\":[{}]}}", items.unwrap_or_default()));
         }
         let written = put_item(&mut content, &key, &base64_decode(&value));
+        self.writes.fetch_add(1, Ordering::Relaxed);
         self.content.1.notify_all();
         (200, format!("{{\"revision\":{written}}}"))
     }
