--- a/review/standin-3/src/hosts.rs
+++ b/review/standin-3/src/hosts.rs
@@ -129,6 +129,9 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
+        // The script ends what is left if this program is ended itself.
+        let mut pids = File::options().create(true).append(true).open(self.folder.join("pids"))?;
+        writeln!(pids, "{}", child.id())?;
         self.record.line(&format!("host {} started", self.settings.name));
         *self.started_at.lock().unwrap() = Instant::now();
         *self.child.lock().unwrap() = Some(child);
